--- /dev/null
+++ b/cmd/chiveyoke-entry/main.go
@@ -0,0 +1,59 @@
+// Command chiveyoke-entry is the daemon of entry VMs on the users' platform.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/chiveyoke/chiveyoke/internal/run/chiveentry"
+	"github.com/chiveyoke/chiveyoke/internal/run/chiverelay"
+	"github.com/chiveyoke/chiveyoke/internal/state/chivefleet"
+	"github.com/chiveyoke/chiveyoke/platform"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	// The settings that a process reads do not change while it runs.
+	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
+	if err := serve(ctx); err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, "chiveyoke-entry:", err)
+		os.Exit(1)
+	}
+}
+
+func serve(ctx context.Context) error {
+	s, err := platform.LoadSettings()
+	if err != nil {
+		return err
+	}
+	return chiveentry.New(settings(s), chiveentry.Parts{
+		Store: platform.NewStore(s.Store.Address), Codec: platform.Codec{}, Dialect: platform.Dialect{},
+		Front: platform.Front{}, Logs: os.Stdout,
+	}).Run(ctx)
+}
+
+// settings translates the platform's settings.
+func settings(s *platform.Settings) chiveentry.Settings {
+	return chiveentry.Settings{
+		Entry: chivefleet.Entry{
+			Name: s.Name, Zone: s.Zone, Callers: s.Listen.Callers,
+			Mesh: net.JoinHostPort(s.IP, strconv.Itoa(s.Ports[0])),
+		},
+		Readiness: s.Listen.Readiness,
+		Directory: s.Listen.Directory,
+		Grace:     time.Duration(s.Bounds.GraceS * float64(time.Second)),
+		Revoke:    time.Duration(s.Bounds.RevokeMS * float64(time.Millisecond)),
+		Limits: chiverelay.Limits{
+			RetryRatio: s.Bounds.RetryRatio, RetrySlack: s.Bounds.RetrySlack,
+			RetryWindow: time.Duration(s.Bounds.RetryWindowS * float64(time.Second)),
+		},
+		Tables: chiveentry.Tables{Operators: platform.TableOperators, Runners: platform.TableRunners, Own: platform.TableOwn},
+	}
+}
--- /dev/null
+++ b/internal/peer/chiverunner/event.go
@@ -0,0 +1,81 @@
+package chiverunner
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"strconv"
+)
+
+// ErrTorn is returned for an answer that ends in the middle of an event.
+var ErrTorn = errors.New("answer ends within an event")
+
+// maxEvent is the largest event, in bytes.
+const maxEvent = 1 << 20
+
+// An Event is one event of a stream, with the blank line that ends it.
+type Event struct {
+	// ID is -1 where the event has none.
+	ID   int64
+	Text []byte
+}
+
+// An EventReader reads the whole events of a stream.
+type EventReader struct {
+	reader *bufio.Reader
+	text   []byte
+}
+
+// NewEventReader returns a new EventReader.
+func NewEventReader(r io.Reader) *EventReader {
+	return &EventReader{reader: bufio.NewReaderSize(r, bufferSize)}
+}
+
+// Next returns the next event, whose text is valid until the following call. It
+// returns io.EOF at the end of the answer and ErrTorn within an event.
+func (e *EventReader) Next() (Event, error) {
+	e.text = e.text[:0]
+	id := int64(-1)
+	for {
+		start := len(e.text)
+		line, err := e.reader.ReadSlice('\n')
+		e.text = append(e.text, line...)
+		if errors.Is(err, bufio.ErrBufferFull) {
+			if len(e.text) > maxEvent {
+				return Event{}, Error.New("event is longer than %d bytes", maxEvent)
+			}
+			continue
+		}
+		if err != nil {
+			return Event{}, e.end(err)
+		}
+		line = bytes.TrimRight(e.text[start:], "\r\n")
+		if len(line) == 0 {
+			if start == 0 {
+				e.text = e.text[:0]
+				continue
+			}
+			return Event{ID: id, Text: e.text}, nil
+		}
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			n, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+			if err != nil {
+				return Event{}, Error.New("event has id %q", value)
+			}
+			id = n
+		}
+	}
+}
+
+// Pending reports whether more bytes have arrived already.
+func (e *EventReader) Pending() bool {
+	return e.reader.Buffered() > 0
+}
+
+func (e *EventReader) end(err error) error {
+	if errors.Is(err, io.EOF) && len(e.text) > 0 {
+		return ErrTorn
+	}
+	return err
+}
--- /dev/null
+++ b/internal/run/chiveentry/directory.go
@@ -0,0 +1,59 @@
+package chiveentry
+
+import (
+	"time"
+
+	"github.com/chiveyoke/chiveyoke/internal/run/chivemesh"
+	"github.com/chiveyoke/chiveyoke/internal/state/chiveboot"
+	"github.com/chiveyoke/chiveyoke/internal/state/chivefleet"
+)
+
+// minNear is the number of entry VMs in the caller's zone below which callers
+// are sent to other zones, too.
+const minNear = 2
+
+// maxAddresses is the number of addresses that callers read.
+const maxAddresses = 64
+
+// place is an entry VM that a caller may be sent to.
+type place struct {
+	entry chivefleet.Entry
+	fresh bool
+}
+
+// addresses returns where the callers of a zone should connect: to entry VMs
+// that are alive and up to date, near ones first.
+func addresses(self chivefleet.Entry, leaving bool, fleet *chivefleet.Fleet, peers []chivemesh.Peer, zone string, maxAge time.Duration) []string {
+	now := chiveboot.Now()
+	var places []place
+	if !leaving {
+		places = append(places, place{entry: self, fresh: fleet.Fresh(now, maxAge)})
+	}
+	for _, p := range peers {
+		if p.Leaving {
+			continue
+		}
+		places = append(places, place{entry: p.Entry, fresh: p.Confirmed != 0 && now.Sub(p.Confirmed) < maxAge})
+	}
+	places = filter(places, func(p place) bool { return p.fresh }, 1)
+	places = filter(places, func(p place) bool { return p.entry.Zone == zone }, minNear)
+	list := make([]string, 0, len(places))
+	for _, p := range places[:min(len(places), maxAddresses)] {
+		list = append(list, p.entry.Callers)
+	}
+	return list
+}
+
+// filter returns the places that are kept, or all where fewer than least are.
+func filter(places []place, keep func(place) bool, least int) []place {
+	var kept []place
+	for _, p := range places {
+		if keep(p) {
+			kept = append(kept, p)
+		}
+	}
+	if len(kept) < least {
+		return places
+	}
+	return kept
+}
--- /dev/null
+++ b/internal/run/chiveentry/entry.go
@@ -0,0 +1,315 @@
+// Package chiveentry implements the daemon of an entry VM: it serves callers and
+// tells them which entry VMs to use.
+package chiveentry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/oklog/run"
+	"github.com/zeebo/errs"
+
+	"github.com/chiveyoke/chiveyoke/internal/peer/chiverunner"
+	"github.com/chiveyoke/chiveyoke/internal/run/chivelog"
+	"github.com/chiveyoke/chiveyoke/internal/run/chivemesh"
+	"github.com/chiveyoke/chiveyoke/internal/run/chiverelay"
+	"github.com/chiveyoke/chiveyoke/internal/state/chiveboot"
+	"github.com/chiveyoke/chiveyoke/internal/state/chivefleet"
+	"github.com/chiveyoke/chiveyoke/internal/state/chivefollow"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("entry")
+
+const (
+	// headerTimeout bounds the reading of a request's header.
+	headerTimeout = 5 * time.Second
+	// idleTimeout is how long a caller's idle connection is kept; callers reuse
+	// theirs for less.
+	idleTimeout = 60 * time.Second
+	// configWait and runnerWait are how long one call to the store waits for a
+	// change. The first bounds the age of what is known of keys.
+	configWait = 1500 * time.Millisecond
+	runnerWait = 15 * time.Second
+	// retryPause is the pause between two tries to write to the store.
+	retryPause = 300 * time.Millisecond
+	// writeTimeout bounds one write to the store.
+	writeTimeout = 1500 * time.Millisecond
+	// lifetime is how long callers keep an answer of the directory; some keep it
+	// three times as long.
+	lifetime = 2 * time.Second
+	// freshPart is the part of the bound on taken keys within which a
+	// configuration must have been confirmed. The rest covers the way to the
+	// runner.
+	freshPart = 0.92
+	// trimPeriod is the time between two looks at idle connections.
+	trimPeriod = 500 * time.Millisecond
+	// endMargin is how long before the end of its grace a process ends by itself.
+	endMargin = 400 * time.Millisecond
+)
+
+// Settings are what an entry VM is told at its start.
+type Settings struct {
+	Entry chivefleet.Entry
+	// Readiness and Directory are the addresses of those services.
+	Readiness string
+	Directory string
+	// Grace is the time from SIGTERM to SIGKILL.
+	Grace time.Duration
+	// Revoke is how long a key may be used after it was taken away.
+	Revoke time.Duration
+	Limits chiverelay.Limits
+	// Tables name those of the operators, the runners and the system.
+	Tables Tables
+}
+
+// Tables are the names of the store's tables.
+type Tables struct {
+	Operators, Runners, Own string
+}
+
+// A Store is the platform's store.
+type Store interface {
+	chivefollow.Source
+	// Put writes a row whatever it held before.
+	Put(ctx context.Context, table, key string, value []byte) error
+	// Remove deletes a row.
+	Remove(ctx context.Context, table, key string) error
+}
+
+// A Front makes the servers that the platform and callers ask.
+type Front interface {
+	// Directory answers which addresses a caller in a zone should use, and how
+	// long to keep the answer.
+	Directory(resolve func(zone string) ([]string, time.Duration)) http.Handler
+	// Readiness answers whether the entry VM is ready.
+	Readiness(ready func() bool) http.Handler
+}
+
+// Parts are the implementations of what an entry VM talks to.
+type Parts struct {
+	Store   Store
+	Codec   Codec
+	Dialect chiverelay.Dialect
+	Front   Front
+	Logs    io.Writer
+}
+
+// An Entry is the daemon.
+type Entry struct {
+	settings Settings
+	parts    Parts
+	logs     *chivelog.Writer
+	log      *log.Logger
+	tracker  *Tracker
+	mesh     *chivemesh.Mesh
+	relay    *chiverelay.Relay
+	leaving  atomic.Bool
+}
+
+// New returns a new Entry.
+func New(settings Settings, parts Parts) *Entry {
+	settings.Entry.Boot = rand.Uint64() | 1
+	e := &Entry{settings: settings, parts: parts, logs: chivelog.NewWriter(parts.Logs)}
+	e.log = log.NewWithOptions(e.logs, log.Options{
+		Prefix: settings.Entry.Name, Formatter: log.JSONFormatter, ReportTimestamp: true,
+		TimeFormat: "2006-01-02T15:04:05.000Z07:00",
+	})
+	e.tracker = NewTracker(parts.Codec, e.log.WithPrefix("fleet"))
+	board := chiverelay.NewBoard(settings.Limits)
+	e.mesh = &chivemesh.Mesh{
+		Self: settings.Entry, Fleet: e.tracker.Fleet, Busy: board.Own, Heard: board.Peer, Log: e.log.WithPrefix("mesh"),
+	}
+	e.relay = &chiverelay.Relay{
+		Dialect: parts.Dialect, Board: board, Pool: &chiverunner.Pool{}, Log: e.log.WithPrefix("relay"),
+		Zone: settings.Entry.Zone, Fleet: e.fleet, MaxAge: e.maxAge(),
+	}
+	return e
+}
+
+// maxAge returns how long a confirmation of the configuration counts.
+func (e *Entry) maxAge() time.Duration {
+	return time.Duration(float64(e.settings.Revoke) * freshPart)
+}
+
+// fleet returns the newest view, with what peers know of its configuration.
+func (e *Entry) fleet() *chivefleet.Fleet {
+	f := e.tracker.Fleet()
+	if f.Config == nil || f.Fresh(chiveboot.Now(), e.maxAge()/2) {
+		return f
+	}
+	lent := f.Confirmed
+	for _, p := range e.mesh.Peers() {
+		if p.Version == f.Config.Version {
+			lent = max(lent, p.Confirmed)
+		}
+	}
+	if lent == f.Confirmed {
+		return f
+	}
+	next := *f
+	next.Confirmed = lent
+	return &next
+}
+
+// Run serves until the context ends and then lets every request end.
+func (e *Entry) Run(ctx context.Context) error {
+	base, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	logged, endLogs := context.WithCancel(context.Background())
+	defer endLogs()
+	callers := &http.Server{
+		Handler: e.relay, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		ErrorLog: e.log.WithPrefix("http").StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
+	}
+	var group run.Group
+	interrupt := func(error) { cancel() }
+	group.Add(func() error { return e.waitAndDrain(ctx, callers) }, interrupt)
+	for _, f := range e.followers() {
+		group.Add(func() error { return f.Run(base) }, interrupt)
+	}
+	group.Add(func() error { return e.tracker.Run(base) }, interrupt)
+	group.Add(func() error { return e.mesh.Run(base) }, interrupt)
+	group.Add(func() error { return e.register(base) }, interrupt)
+	group.Add(func() error { return e.trim(base) }, interrupt)
+	group.Add(func() error { return e.logs.Run(logged) }, func(error) { endLogs() })
+	if err := e.serve(&group, base, callers); err != nil {
+		return err
+	}
+	e.log.Info("Started.", "zone", e.settings.Entry.Zone, "callers", e.settings.Entry.Callers, "boot", e.settings.Entry.Boot)
+	return group.Run()
+}
+
+// serve adds the servers to a group.
+func (e *Entry) serve(group *run.Group, base context.Context, callers *http.Server) error {
+	small := func(h http.Handler) *http.Server {
+		return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	}
+	for _, s := range []struct {
+		addr   string
+		server *http.Server
+	}{
+		{e.settings.Entry.Callers, callers},
+		{e.settings.Directory, small(e.parts.Front.Directory(e.resolve))},
+		{e.settings.Readiness, small(e.parts.Front.Readiness(e.ready))},
+	} {
+		l, err := net.Listen("tcp4", s.addr)
+		if err != nil {
+			return Error.Wrap(err)
+		}
+		group.Add(func() error {
+			if err := s.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+				return Error.Wrap(err)
+			}
+			<-base.Done()
+			return nil
+		}, func(error) { _ = s.server.Close() })
+	}
+	return nil
+}
+
+// followers returns those of the store's tables.
+func (e *Entry) followers() []*chivefollow.Follower {
+	t := e.settings.Tables
+	make1 := func(table string, wait time.Duration, into chan chivefollow.Table) *chivefollow.Follower {
+		return &chivefollow.Follower{
+			Source: e.parts.Store, Table: table, Wait: wait, Log: e.log.WithPrefix("store"),
+			Changed: func(t chivefollow.Table) { into <- t },
+		}
+	}
+	return []*chivefollow.Follower{
+		make1(t.Operators, configWait, e.tracker.operators),
+		make1(t.Runners, runnerWait, e.tracker.servers),
+		make1(t.Own, runnerWait, e.tracker.entries),
+	}
+}
+
+// ready reports whether this entry VM serves.
+func (e *Entry) ready() bool {
+	f := e.fleet()
+	return !e.leaving.Load() && f.Fresh(chiveboot.Now(), e.maxAge()) && len(f.Runners) > 0
+}
+
+// resolve answers a caller that asks where to connect.
+func (e *Entry) resolve(zone string) ([]string, time.Duration) {
+	return addresses(e.settings.Entry, e.leaving.Load(), e.fleet(), e.mesh.Peers(), zone, e.maxAge()), lifetime
+}
+
+// register writes this entry VM's row until the store has it.
+func (e *Entry) register(ctx context.Context) error {
+	value, err := cbor.Marshal(&e.settings.Entry)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	for ctx.Err() == nil {
+		if err = e.write(ctx, func(ctx context.Context) error {
+			return e.parts.Store.Put(ctx, e.settings.Tables.Own, entryPrefix+e.settings.Entry.Name, value)
+		}); err == nil {
+			break
+		}
+		e.log.Warn("Entry was not registered.", "error", err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(retryPause):
+		}
+	}
+	<-ctx.Done()
+	return nil
+}
+
+func (e *Entry) write(ctx context.Context, do func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	return do(ctx)
+}
+
+// trim closes what is no longer used.
+func (e *Entry) trim(ctx context.Context) error {
+	tick := time.NewTicker(trimPeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+			fleet := e.tracker.Fleet()
+			e.relay.Pool.Trim()
+			e.relay.Board.Trim(fleet)
+			e.relay.Board.SetEntries(len(fleet.Entries))
+		}
+	}
+}
+
+// waitAndDrain waits for the stop, leaves the directory, serves on while callers
+// may still use its answers, and lets the requests end.
+func (e *Entry) waitAndDrain(ctx context.Context, callers *http.Server) error {
+	<-ctx.Done()
+	began := chiveboot.Now()
+	e.leaving.Store(true)
+	e.mesh.Leave()
+	e.relay.Leave()
+	listen := min(2*lifetime+lifetime/2, e.settings.Grace*2/3)
+	e.log.Info("Leaving.", "serving", listen)
+	time.Sleep(listen)
+	left := began.Add(e.settings.Grace - endMargin)
+	grace, cancel := context.WithTimeout(context.Background(), chiveboot.Until(left))
+	defer cancel()
+	if err := callers.Shutdown(grace); err != nil {
+		e.log.Warn("Requests were cut off.", "error", err)
+	}
+	if err := e.write(grace, func(ctx context.Context) error {
+		return e.parts.Store.Remove(ctx, e.settings.Tables.Own, entryPrefix+e.settings.Entry.Name)
+	}); err != nil {
+		e.log.Warn("Entry was not removed.", "error", err)
+	}
+	e.log.Info("Stopped.")
+	return nil
+}
--- /dev/null
+++ b/internal/run/chiverelay/board.go
@@ -0,0 +1,213 @@
+package chiverelay
+
+import (
+	"sync"
+	"time"
+
+	"github.com/chiveyoke/chiveyoke/internal/policy/chivechoice"
+	"github.com/chiveyoke/chiveyoke/internal/policy/chivequota"
+	"github.com/chiveyoke/chiveyoke/internal/state/chiveboot"
+	"github.com/chiveyoke/chiveyoke/internal/state/chivefleet"
+)
+
+const (
+	// suspectTime is how long a runner that failed is passed over where another
+	// has room.
+	suspectTime = 1500 * time.Millisecond
+	// loadAge is how long the load that another entry VM reported counts.
+	loadAge = 2500 * time.Millisecond
+)
+
+// Limits bound what entry VMs send together.
+type Limits struct {
+	// RetryRatio and RetrySlack bound the retries at a service in any
+	// RetryWindow: a part of its requests, and a number.
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+}
+
+// A Board keeps what is known of the load and the health of runners. It is safe
+// for concurrent use.
+type Board struct {
+	limits Limits
+
+	mu       sync.Mutex
+	own      map[string]int
+	peers    map[string]peerLoad
+	suspects map[string]chiveboot.Moment
+	cold     map[string]*chivequota.Cold
+	retries  map[string]*chivequota.Retries
+	entries  int
+}
+
+// peerLoad is the number of requests that another entry VM has at each runner.
+type peerLoad struct {
+	at   chiveboot.Moment
+	busy map[string]int
+}
+
+// NewBoard returns a new Board.
+func NewBoard(limits Limits) *Board {
+	return &Board{
+		limits: limits, own: map[string]int{}, peers: map[string]peerLoad{}, suspects: map[string]chiveboot.Moment{},
+		cold: map[string]*chivequota.Cold{}, retries: map[string]*chivequota.Retries{}, entries: 1,
+	}
+}
+
+// SetEntries sets the number of entry VMs that share the limits.
+func (b *Board) SetEntries(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.entries = max(1, n)
+}
+
+// Peer notes the load that another entry VM reported.
+func (b *Board) Peer(name string, busy map[string]int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.peers[name] = peerLoad{at: chiveboot.Now(), busy: busy}
+}
+
+// Own returns the number of this entry VM's requests at each runner.
+func (b *Board) Own() map[string]int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	list := make(map[string]int, len(b.own))
+	for id, n := range b.own {
+		list[id] = n
+	}
+	return list
+}
+
+// Suspect passes a runner over for a while.
+func (b *Board) Suspect(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.suspects[id] = chiveboot.Now().Add(suspectTime)
+}
+
+// Request counts a request for a service.
+func (b *Board) Request(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.budget(service).Request(time.Duration(chiveboot.Now()))
+}
+
+// Retry takes one retry out of the budget of a service.
+func (b *Board) Retry(service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.budget(service).Take(time.Duration(chiveboot.Now()), b.entries)
+}
+
+func (b *Board) budget(service string) *chivequota.Retries {
+	r := b.retries[service]
+	if r == nil {
+		r = &chivequota.Retries{Ratio: b.limits.RetryRatio, Slack: b.limits.RetrySlack, Span: b.limits.RetryWindow}
+		b.retries[service] = r
+	}
+	return r
+}
+
+// A Want is what a request asks of a runner.
+type Want struct {
+	Service *chivefleet.Service
+	// Zone is that of the entry VM.
+	Zone string
+	// Tried holds the runners that had the request before.
+	Tried map[string]bool
+	// Draw is a random number from 0 to 1.
+	Draw float64
+}
+
+// Reserve picks a runner and counts the request there. It returns nil where none
+// has room.
+func (b *Board) Reserve(runners []*chivefleet.Runner, c chivechoice.Chooser, w Want) *chivefleet.Runner {
+	now := chiveboot.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	list := make([]chivechoice.Candidate, 0, len(runners))
+	sound := make([]*chivefleet.Runner, 0, len(runners))
+	for _, r := range runners {
+		list = append(list, chivechoice.Candidate{
+			Busy: b.busy(r.ID, now), Slots: r.Slots, Near: r.Zone == w.Zone,
+			Suspect: now < b.suspects[r.ID], Tried: w.Tried[r.ID],
+		})
+		sound = append(sound, r)
+	}
+	for len(list) > 0 {
+		i := c.Choose(list, w.Draw)
+		if i < 0 {
+			return nil
+		}
+		if b.admitCold(sound[i], w.Service, now) {
+			b.own[sound[i].ID]++
+			return sound[i]
+		}
+		list = append(list[:i], list[i+1:]...)
+		sound = append(sound[:i], sound[i+1:]...)
+	}
+	return nil
+}
+
+// admitCold reports whether a runner may take one more request while it is cold.
+func (b *Board) admitCold(r *chivefleet.Runner, s *chivefleet.Service, now chiveboot.Moment) bool {
+	if now >= r.Cold || s.ColdRate == 0 {
+		return true
+	}
+	c := b.cold[r.ID]
+	if c == nil {
+		c = &chivequota.Cold{}
+		b.cold[r.ID] = c
+	}
+	return c.Take(time.Duration(now), s.ColdRate, b.entries)
+}
+
+// Release ends the count of a request at a runner.
+func (b *Board) Release(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.own[id]--; b.own[id] <= 0 {
+		delete(b.own, id)
+	}
+}
+
+// busy returns the requests of all entry VMs at a runner.
+func (b *Board) busy(id string, now chiveboot.Moment) int {
+	n := b.own[id]
+	for _, p := range b.peers {
+		if now.Sub(p.at) < loadAge {
+			n += p.busy[id]
+		}
+	}
+	return n
+}
+
+// Trim forgets runners and entry VMs that are gone.
+func (b *Board) Trim(fleet *chivefleet.Fleet) {
+	known := map[string]bool{}
+	for _, list := range fleet.Runners {
+		for _, r := range list {
+			known[r.ID] = true
+		}
+	}
+	now := chiveboot.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id := range b.cold {
+		if !known[id] {
+			delete(b.cold, id)
+		}
+	}
+	for id, until := range b.suspects {
+		if now >= until {
+			delete(b.suspects, id)
+		}
+	}
+	for name, p := range b.peers {
+		if now.Sub(p.at) > loadAge {
+			delete(b.peers, name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/run/chiverelay/relay.go
@@ -0,0 +1,378 @@
+package chiverelay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/chiveyoke/chiveyoke/internal/peer/chiverunner"
+	"github.com/chiveyoke/chiveyoke/internal/policy/chivechoice"
+	"github.com/chiveyoke/chiveyoke/internal/policy/chiveverdict"
+	"github.com/chiveyoke/chiveyoke/internal/state/chiveboot"
+	"github.com/chiveyoke/chiveyoke/internal/state/chivefleet"
+)
+
+const (
+	// engineQueue is the number of requests beyond its slots that a model runner
+	// may have, plainQueue that of a plain service. Their answers still begin
+	// within the goal of the usual routes.
+	engineQueue = 3
+	plainQueue  = 6
+	// defaultDeadline is that of requests whose caller and route set none.
+	defaultDeadline = 30 * time.Second
+	// comeBack is when refused callers may return at the soonest; they are told
+	// up to twice that, so that they do not come back together.
+	comeBack = 400 * time.Millisecond
+	// minLeft is the least time for which a request is sent to a runner.
+	minLeft = 15 * time.Millisecond
+)
+
+// A Relay serves callers.
+type Relay struct {
+	Dialect Dialect
+	Board   *Board
+	Pool    *chiverunner.Pool
+	Log     *log.Logger
+	// Zone is that of this entry VM.
+	Zone string
+	// Fleet returns the newest view of the fleet.
+	Fleet func() *chivefleet.Fleet
+	// MaxAge is how long after its confirmation a configuration may admit
+	// requests with a key.
+	MaxAge time.Duration
+	// Observe takes the outcome of each request.
+	Observe func(Outcome)
+
+	leaving atomic.Bool
+}
+
+// An Outcome is the end of a request.
+type Outcome struct {
+	Route    string
+	Status   int
+	Verdict  chiveverdict.Verdict
+	Attempts int
+	// First is the time to the answer or its first event, Total that to its end.
+	First, Total time.Duration
+}
+
+// Leave closes callers' connections after their next answers.
+func (y *Relay) Leave() {
+	y.leaving.Store(true)
+}
+
+// ServeHTTP implements http.Handler.
+func (y *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if y.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	x := &exchange{relay: y, w: w, r: r, began: chiveboot.Now(), tried: map[string]bool{}, last: -1}
+	defer x.report()
+	if x.admit() {
+		x.serve()
+	}
+}
+
+// exchange is one request of a caller.
+type exchange struct {
+	relay     *Relay
+	w         http.ResponseWriter
+	r         *http.Request
+	began     chiveboot.Moment
+	deadline  chiveboot.Moment
+	request   Request
+	body      []byte
+	fleet     *chivefleet.Fleet
+	route     *chivefleet.Route
+	service   *chivefleet.Service
+	workspace *chivefleet.Workspace
+
+	// tried holds the runners to which the request was sent.
+	tried map[string]bool
+	// attempts counts the sends.
+	attempts int
+	runner   string
+	// mayHaveRun says that a runner may have begun the request.
+	mayHaveRun bool
+	// begun says that the caller has part of the answer; last is the id of the
+	// last event that it has.
+	begun bool
+	last  int64
+	// held is a runner's own failure, for the caller if nothing better comes.
+	held *heldAnswer
+
+	status int
+	cause  string
+	first  time.Duration
+}
+
+// admit decides whether the request may be sent at all. Otherwise it answers.
+func (x *exchange) admit() bool {
+	y := x.relay
+	request, err := y.Dialect.Request(x.r)
+	if err != nil {
+		return x.reject(http.StatusBadRequest, err.Error())
+	}
+	x.request, x.last = request, request.LastEvent
+	x.fleet = y.Fleet()
+	if x.fleet.Config == nil {
+		return x.refuse("no configuration is known yet")
+	}
+	fresh := x.fresh()
+	x.route = x.fleet.Config.Route(hostOnly(x.r.Host), x.r.URL.Path)
+	if x.route == nil {
+		if !fresh {
+			return x.refuse("the configuration may be out of date")
+		}
+		return x.reject(http.StatusNotFound, "no route matches")
+	}
+	if !x.checkKey(fresh) {
+		return false
+	}
+	x.service = x.pickService()
+	x.setDeadline()
+	return x.readBody()
+}
+
+// hostOnly returns a host without its port.
+func hostOnly(host string) string {
+	name, _, err := net.SplitHostPort(host)
+	if err != nil {
+		return host
+	}
+	return name
+}
+
+// fresh reports whether the configuration is known to be new enough.
+func (x *exchange) fresh() bool {
+	return x.fleet.Fresh(chiveboot.Now(), x.relay.MaxAge)
+}
+
+// checkKey finds the workspace of the request's key.
+func (x *exchange) checkKey(fresh bool) bool {
+	if x.route.Public || !x.fleet.Config.Locked() {
+		return true
+	}
+	if !fresh {
+		return x.refuse("the keys may be out of date")
+	}
+	x.workspace = x.fleet.Config.Workspace(x.request.Key)
+	if x.workspace == nil {
+		return x.reject(http.StatusUnauthorized, "the key is not known")
+	}
+	return true
+}
+
+func (x *exchange) pickService() *chivefleet.Service {
+	sum := 0
+	for _, t := range x.route.Targets {
+		sum += t.Weight
+	}
+	at := 0
+	if sum > 0 {
+		at = rand.IntN(sum)
+	}
+	for _, t := range x.route.Targets {
+		if at -= t.Weight; at < 0 {
+			return x.fleet.Config.Services[t.Service]
+		}
+	}
+	return x.fleet.Config.Services[x.route.Targets[0].Service]
+}
+
+func (x *exchange) setDeadline() {
+	left := x.request.Deadline
+	if left == 0 {
+		left = defaultDeadline
+	}
+	if x.route.Timeout > 0 {
+		left = min(left, x.route.Timeout)
+	}
+	x.deadline = x.began.Add(left)
+}
+
+// readBody reads the whole body.
+func (x *exchange) readBody() bool {
+	limit := x.fleet.Config.MaxBody
+	if limit == 0 {
+		limit = 1 << 30
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return x.reject(http.StatusRequestEntityTooLarge, "the body is too large")
+	case err != nil:
+		x.cause = "caller broke off its request: " + err.Error()
+		panic(http.ErrAbortHandler)
+	}
+	x.body = body
+	return true
+}
+
+// serve sends the request to runners until one answers it.
+func (x *exchange) serve() {
+	x.relay.Board.Request(x.service.Name)
+	ctx, cancel := context.WithTimeout(x.r.Context(), chiveboot.Until(x.deadline))
+	defer cancel()
+	for {
+		runner := x.reserve()
+		if runner == nil {
+			x.end(ctx)
+			return
+		}
+		done := x.attempt(ctx, runner)
+		x.relay.Board.Release(runner.ID)
+		if done {
+			return
+		}
+		if ctx.Err() != nil || !x.again() {
+			x.end(ctx)
+			return
+		}
+	}
+}
+
+// reserve picks a runner, after another look at what has changed.
+func (x *exchange) reserve() *chivefleet.Runner {
+	x.fleet = x.relay.Fleet()
+	if !x.stillAllowed() {
+		return nil
+	}
+	if chiveboot.Until(x.deadline) < minLeft {
+		x.cause = "too little time is left"
+		return nil
+	}
+	queue := plainQueue
+	if x.service.Engine != nil {
+		queue = engineQueue
+	}
+	usable := x.fleet.Usable(x.service.Name)
+	runner := x.relay.Board.Reserve(usable, chivechoice.Chooser{Queue: queue}, Want{
+		Service: x.service, Zone: x.relay.Zone, Tried: x.tried, Draw: rand.Float64(),
+	})
+	if runner == nil && x.cause == "" {
+		x.cause = "no runner has room"
+		if len(usable) == 0 {
+			x.cause = "the service has no runner"
+		}
+	}
+	return runner
+}
+
+// stillAllowed reports whether the newest configuration admits the request.
+func (x *exchange) stillAllowed() bool {
+	if x.workspace == nil {
+		return true
+	}
+	if !x.fresh() {
+		x.cause = "the keys may be out of date"
+		return false
+	}
+	if x.fleet.Config.Workspace(x.request.Key) == nil {
+		x.cause = "the key was taken away"
+		return false
+	}
+	return true
+}
+
+// again reports whether the request may be sent once more.
+func (x *exchange) again() bool {
+	if x.mayHaveRun && !x.route.Repeatable() {
+		return false
+	}
+	if x.begun && !x.route.Resumable {
+		return false
+	}
+	if x.attempts == 0 {
+		return true
+	}
+	if x.attempts >= max(1, x.route.Attempts) {
+		return false
+	}
+	return x.relay.Board.Retry(x.service.Name)
+}
+
+// end answers a request that no runner will serve.
+func (x *exchange) end(ctx context.Context) {
+	switch {
+	case x.r.Context().Err() != nil:
+		x.cause = "caller left"
+		panic(http.ErrAbortHandler)
+	case x.begun:
+		x.cause = "stream broke: " + x.cause
+		panic(http.ErrAbortHandler)
+	case x.held != nil:
+		x.deliver(x.held)
+	case !x.mayHaveRun:
+		x.refuse(x.cause)
+	case ctx.Err() != nil || chiveboot.Until(x.deadline) < minLeft:
+		x.answer(http.StatusGatewayTimeout, "no answer before the deadline")
+	default:
+		x.answer(http.StatusBadGateway, x.cause)
+	}
+}
+
+// refuse answers that the request has not run and tells when to come back.
+func (x *exchange) refuse(cause string) bool {
+	after := comeBack + time.Duration(rand.Int64N(int64(comeBack)))
+	x.relay.Dialect.Refuse(x.w.Header(), after)
+	x.answer(http.StatusServiceUnavailable, cause)
+	return false
+}
+
+// reject answers that the request cannot be served at all.
+func (x *exchange) reject(status int, cause string) bool {
+	x.answer(status, cause)
+	return false
+}
+
+func (x *exchange) answer(status int, cause string) {
+	x.status, x.cause = status, cause
+	x.first = chiveboot.Since(x.began)
+	http.Error(x.w, cause, status)
+}
+
+// verdict returns what is known of the request.
+func (x *exchange) verdict() chiveverdict.Verdict {
+	switch {
+	case x.status != 0 && x.status < http.StatusInternalServerError && x.attempts > 0:
+		return chiveverdict.Ran
+	case x.mayHaveRun:
+		return chiveverdict.MayHaveRun
+	}
+	return chiveverdict.NotRun
+}
+
+// report logs the end of the request.
+func (x *exchange) report() {
+	o := Outcome{Status: x.status, Verdict: x.verdict(), Attempts: x.attempts, First: x.first, Total: chiveboot.Since(x.began)}
+	if x.route != nil {
+		o.Route = x.route.Name
+	}
+	if x.relay.Observe != nil {
+		x.relay.Observe(o)
+	}
+	if x.cause == "" {
+		return
+	}
+	workspace := ""
+	if x.workspace != nil {
+		workspace = x.workspace.Name
+	}
+	var version int64
+	var age time.Duration
+	if x.fleet != nil && x.fleet.Config != nil {
+		version, age = x.fleet.Config.Version, chiveboot.Since(x.fleet.Confirmed)
+	}
+	x.relay.Log.Info("Request failed.", "request", x.request.ID, "route", o.Route, "workspace", workspace,
+		"status", o.Status, "verdict", o.Verdict, "cause", x.cause, "runner", x.runner, "attempts", o.Attempts,
+		"took", o.Total, "version", version, "age", age)
+}
--- /dev/null
+++ b/internal/state/chiveboot/clock.go
@@ -0,0 +1,42 @@
+// Package chiveboot implements a clock that also counts the time during which
+// the VM was suspended.
+package chiveboot
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// A Moment is a reading of the clock: the time since the VM booted.
+type Moment time.Duration
+
+// Now returns the present moment. Freshness, leases and deadlines are judged by
+// it, since the monotonic clock stands still while a VM is suspended.
+func Now() Moment {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		panic("clock: CLOCK_BOOTTIME cannot be read: " + err.Error())
+	}
+	return Moment(ts.Nano())
+}
+
+// Sub returns the time from o to m.
+func (m Moment) Sub(o Moment) time.Duration {
+	return time.Duration(m - o)
+}
+
+// Add returns the moment d later.
+func (m Moment) Add(d time.Duration) Moment {
+	return m + Moment(d)
+}
+
+// Since returns the time from m until now.
+func Since(m Moment) time.Duration {
+	return Now().Sub(m)
+}
+
+// Until returns the time from now until m.
+func Until(m Moment) time.Duration {
+	return m.Sub(Now())
+}
--- /dev/null
+++ b/internal/state/chivefleet/config.go
@@ -0,0 +1,161 @@
+// Package chivefleet implements what an entry VM knows of the fleet: the
+// configuration, the runners and the entry VMs.
+package chivefleet
+
+import (
+	"errors"
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+)
+
+// A Config is one accepted version of the operators' configuration.
+type Config struct {
+	Version    int64
+	Routes     []Route
+	Services   map[string]*Service
+	Workspaces []Workspace
+	// MaxBody is the largest body of a request, in bytes; 0 sets no limit.
+	MaxBody int64
+
+	hosts map[string][]*Route
+	keys  map[string]*Workspace
+}
+
+// A Kind says what may be repeated of a request.
+type Kind uint8
+
+// The kinds of requests.
+const (
+	// Idempotent requests may run more than once.
+	Idempotent Kind = iota
+	// NonIdempotent requests run at most once.
+	NonIdempotent
+	// Streaming requests are answered by a series of events.
+	Streaming
+)
+
+// A Route sends the requests of a host and path prefix to services.
+type Route struct {
+	Name     string
+	Host     string
+	Prefix   string
+	Kind     Kind
+	Targets  []Target
+	Attempts int
+	// Timeout is the longest time that a request may take.
+	Timeout time.Duration
+	// Goal is the time to the answer, or to the first event, for full credit.
+	Goal time.Duration
+	// Pause is the longest pause between two events for full credit.
+	Pause time.Duration
+	// Priority is 0 for the most urgent requests.
+	Priority int
+	// Public routes need no key.
+	Public bool
+	// Resumable streams may go on at another runner.
+	Resumable bool
+}
+
+// Repeatable reports whether a request of the route may run more than once.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable
+}
+
+// A Target is a service with its weight among the targets of a route.
+type Target struct {
+	Service string
+	Weight  int
+}
+
+// A Service is a group of runners that serve the same requests.
+type Service struct {
+	Name string
+	// MaxConnections bounds the connections of one runner from all callers.
+	MaxConnections int
+	// ColdRate is the number of requests a second that a cold runner bears; 0
+	// sets no bound.
+	ColdRate float64
+	// Engine is nil for plain services.
+	Engine *Engine
+}
+
+// An Engine describes the model runners of a service.
+type Engine struct {
+	Sets    int
+	Experts int
+	// Places is the number of experts that a rank holds in each set.
+	Places int
+	// Spare is the number of experts by which one map may differ from the last,
+	// for each rank and set.
+	Spare int
+}
+
+// A Workspace is a team with its keys.
+type Workspace struct {
+	Name string
+	Keys []string
+	// Priority takes precedence over the route's; it is nil where none is set.
+	Priority *int
+}
+
+// Index checks a configuration and prepares it for look-ups. It must be called
+// once before the configuration is used.
+func (c *Config) Index() error {
+	c.hosts = map[string][]*Route{}
+	c.keys = map[string]*Workspace{}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		if err := c.checkRoute(r); err != nil {
+			return fmt.Errorf("route %q: %w", r.Name, err)
+		}
+		c.hosts[r.Host] = append(c.hosts[r.Host], r)
+	}
+	for _, list := range c.hosts {
+		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
+	}
+	for i := range c.Workspaces {
+		w := &c.Workspaces[i]
+		for _, k := range w.Keys {
+			c.keys[k] = w
+		}
+	}
+	return nil
+}
+
+func (c *Config) checkRoute(r *Route) error {
+	if r.Host == "" || !strings.HasPrefix(r.Prefix, "/") {
+		return errors.New("has no host or no prefix")
+	}
+	if len(r.Targets) == 0 {
+		return errors.New("has no service")
+	}
+	for _, t := range r.Targets {
+		if c.Services[t.Service] == nil {
+			return fmt.Errorf("service %q does not exist", t.Service)
+		}
+	}
+	return nil
+}
+
+// Route returns the route of a request: the one of its host with the longest
+// prefix of the path, or nil.
+func (c *Config) Route(host, path string) *Route {
+	for _, r := range c.hosts[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Workspace returns the workspace that holds a key, or nil.
+func (c *Config) Workspace(key string) *Workspace {
+	return c.keys[key]
+}
+
+// Locked reports whether requests need a key at all.
+func (c *Config) Locked() bool {
+	return len(c.Workspaces) > 0
+}
--- /dev/null
+++ b/internal/state/chivefleet/fleet.go
@@ -0,0 +1,62 @@
+package chivefleet
+
+import (
+	"sort"
+	"time"
+
+	"github.com/chiveyoke/chiveyoke/internal/state/chiveboot"
+)
+
+// A Fleet is an immutable view of the fleet.
+type Fleet struct {
+	// Config is nil until the first configuration is known.
+	Config *Config
+	// Runners holds the runners of each service, ordered by ID.
+	Runners map[string][]*Runner
+	// Evacuated zones take no new requests.
+	Evacuated map[string]bool
+	// Confirmed is the moment at which the configuration was last known to be
+	// the newest, counted from when the confirming call was sent.
+	Confirmed chiveboot.Moment
+	// Entries holds the registered entry VMs by name.
+	Entries map[string]Entry
+}
+
+// An Entry is a registered entry VM.
+type Entry struct {
+	Name string `cbor:"name"`
+	// Boot is the incarnation of its process.
+	Boot uint64 `cbor:"boot"`
+	// Callers is the address for callers, Mesh that for other entry VMs.
+	Callers string `cbor:"callers"`
+	Mesh    string `cbor:"mesh"`
+	Zone    string `cbor:"zone"`
+}
+
+// Fresh reports whether the configuration was the newest less than age ago.
+func (f *Fleet) Fresh(now chiveboot.Moment, age time.Duration) bool {
+	return f.Config != nil && f.Confirmed != 0 && now.Sub(f.Confirmed) < age
+}
+
+// Usable returns the runners of a service that may take new requests.
+func (f *Fleet) Usable(service string) []*Runner {
+	var list []*Runner
+	for _, r := range f.Runners[service] {
+		if !r.Leaving && !f.Evacuated[r.Zone] {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
+// Group sorts runners into services.
+func Group(runners map[string]*Runner) map[string][]*Runner {
+	services := map[string][]*Runner{}
+	for _, r := range runners {
+		services[r.Service] = append(services[r.Service], r)
+	}
+	for _, list := range services {
+		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	}
+	return services
+}
--- /dev/null
+++ b/internal/state/chivefleet/runner.go
@@ -0,0 +1,30 @@
+package chivefleet
+
+import "github.com/chiveyoke/chiveyoke/internal/state/chiveboot"
+
+// A Runner is one incarnation of an endpoint.
+type Runner struct {
+	// ID names the endpoint; it may be the same after a restart.
+	ID      string
+	Service string
+	Address string
+	Zone    string
+	Slots   int
+	// Leaving runners take no new requests.
+	Leaving bool
+	// Cold is the moment until which the runner is cold.
+	Cold chiveboot.Moment
+	// Born is the Unix millisecond of the runner's start, 0 where it is unknown.
+	Born int64
+}
+
+// Incarnation identifies one start of a runner.
+type Incarnation struct {
+	ID   string
+	Born int64
+}
+
+// Incarnation returns the identity of this start of the runner.
+func (r *Runner) Incarnation() Incarnation {
+	return Incarnation{ID: r.ID, Born: r.Born}
+}
--- /dev/null
+++ b/internal/state/chivefollow/follower.go
@@ -0,0 +1,157 @@
+// Package chivefollow implements local copies of the platform's tables, kept up
+// to date by its feed of changes.
+package chivefollow
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/chiveyoke/chiveyoke/internal/state/chiveboot"
+)
+
+// ErrForgotten is returned for changes that the store no longer has.
+var ErrForgotten = errors.New("history was dropped")
+
+// A Row is one row of a table.
+type Row struct {
+	Key   string
+	Value []byte
+	// Version is that of the change which wrote the row.
+	Version int64
+	// Removed marks a row that was deleted.
+	Removed bool
+}
+
+// A Page is the state or the changes of a table.
+type Page struct {
+	Rows []Row
+	// Version is the newest version of the store.
+	Version int64
+}
+
+// A Source reads tables of the platform's store.
+type Source interface {
+	// Read returns all rows of a table.
+	Read(ctx context.Context, table string) (Page, error)
+	// Changes returns the changes after a version as soon as there is one, or
+	// none after the wait. Its error wraps ErrForgotten where they are lost.
+	Changes(ctx context.Context, table string, after int64, wait time.Duration) (Page, error)
+}
+
+const (
+	// slack is how much longer than its wait a call may take.
+	slack = 1200 * time.Millisecond
+	// firstBackoff and lastBackoff bound the pause after a failed call.
+	firstBackoff = 50 * time.Millisecond
+	lastBackoff  = 800 * time.Millisecond
+)
+
+// A Table is a complete copy of a table at one moment.
+type Table struct {
+	Rows map[string]Row
+	// Confirmed is when the call that confirmed the copy was sent.
+	Confirmed chiveboot.Moment
+	// Outage is the moment at which the store answered again after a failure; 0
+	// where it has not failed.
+	Outage chiveboot.Moment
+}
+
+// A Follower keeps a copy of one table.
+type Follower struct {
+	Source Source
+	Table  string
+	// Wait is how long one call waits for a change.
+	Wait time.Duration
+	// Changed takes each new copy; it must not keep the map of rows.
+	Changed func(Table)
+	Log     *log.Logger
+
+	table   Table
+	version int64
+	loaded  bool
+	failing bool
+	backoff time.Duration
+}
+
+// Run follows the table until the context ends.
+func (f *Follower) Run(ctx context.Context) error {
+	f.table.Rows = map[string]Row{}
+	for ctx.Err() == nil {
+		if err := f.step(ctx); err != nil && ctx.Err() == nil {
+			f.fail(ctx, err)
+		}
+	}
+	return nil
+}
+
+// step makes one call.
+func (f *Follower) step(ctx context.Context) error {
+	sent := chiveboot.Now()
+	page, whole, err := f.call(ctx)
+	if errors.Is(err, ErrForgotten) {
+		f.Log.Warn("Changes are lost, reading the table again.", "table", f.Table, "after", f.version)
+		f.loaded = false
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	if f.failing {
+		f.Log.Info("Store answers again.", "table", f.Table, "version", page.Version)
+		f.failing, f.table.Outage = false, chiveboot.Now()
+	}
+	f.backoff = 0
+	f.apply(page, whole)
+	f.table.Confirmed = sent
+	f.Changed(f.table)
+	return nil
+}
+
+// call reads the whole table the first time and its changes from then on.
+func (f *Follower) call(ctx context.Context) (page Page, whole bool, err error) {
+	if !f.loaded {
+		ctx, cancel := context.WithTimeout(ctx, slack)
+		defer cancel()
+		page, err = f.Source.Read(ctx, f.Table)
+		return page, true, err
+	}
+	wait := f.Wait
+	if f.failing {
+		wait = 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+slack)
+	defer cancel()
+	page, err = f.Source.Changes(ctx, f.Table, f.version, wait)
+	return page, false, err
+}
+
+func (f *Follower) apply(page Page, whole bool) {
+	if whole {
+		f.table.Rows = make(map[string]Row, len(page.Rows))
+		f.loaded = true
+	}
+	for _, r := range page.Rows {
+		if r.Removed {
+			delete(f.table.Rows, r.Key)
+			continue
+		}
+		f.table.Rows[r.Key] = r
+	}
+	f.version = max(f.version, page.Version)
+}
+
+// fail waits before the next call, longer after each failure in a row.
+func (f *Follower) fail(ctx context.Context, err error) {
+	if !f.failing {
+		f.Log.Warn("Store does not answer.", "table", f.Table, "version", f.version, "error", err)
+		f.failing = true
+	}
+	f.backoff = min(max(2*f.backoff, firstBackoff), lastBackoff)
+	select {
+	case <-ctx.Done():
+	case <-time.After(f.backoff):
+	}
+}
