Balance the experts of rank groups on the platform

Change: the holder of a lease reads counts of two ranks, plans with a bound on the experts that a rank gets at once, and changes maps: all ranks prepare, the group is held a few passes ahead, all ranks are armed for that pass, then the group is let go. Empty slots in maps are new in the planner.

--- a/cmd/chiveyoke-entry/main.go
+++ b/cmd/chiveyoke-entry/main.go
@@ -33,8 +33,9 @@
 	if err != nil {
 		return err
 	}
+	store := platform.NewStore(s.Store.Address)
 	return chiveentry.New(settings(s), chiveentry.Parts{
-		Store: platform.NewStore(s.Store.Address), Codec: platform.Codec{}, Dialect: platform.Dialect{},
+		Store: store, Leases: &platform.Table{Store: store, Name: platform.TableLeases}, Engine: platform.NewEngine(), Codec: platform.Codec{}, Dialect: platform.Dialect{},
 		Front: platform.Front{}, Logs: os.Stdout,
 	}).Run(ctx)
 }
--- a/internal/policy/chivemap/map.go
+++ b/internal/policy/chivemap/map.go
@@ -5,16 +5,20 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 )
 
+// Empty marks a slot that holds no expert.
+const Empty = math.MaxUint16
+
 // A Map places the experts of every layer on the slots of the ranks. An expert
 // may stand in several slots; its tokens are spread evenly over them.
 type Map struct {
 	Ranks   int `cbor:"ranks"`
 	Slots   int `cbor:"slots"`
 	Experts int `cbor:"experts"`
-	// Layers holds, for each layer, the expert in each slot: slot s of rank r
-	// at position r·Slots+s.
+	// Layers holds, for each layer, the expert in each slot, or Empty: slot s of
+	// rank r at position r·Slots+s.
 	Layers [][]uint16 `cbor:"layers"`
 }
 
@@ -52,6 +56,9 @@
 	}
 	held := make([]bool, m.Experts)
 	for _, e := range layer {
+		if e == Empty {
+			continue
+		}
 		if int(e) >= m.Experts {
 			return fmt.Errorf("expert %d does not exist", e)
 		}
@@ -65,6 +72,33 @@
 	return nil
 }
 
+// InTurn returns the map that holds each expert once, on the ranks in turn.
+func InTurn(ranks, slots, experts, layers int) *Map {
+	m := &Map{Ranks: ranks, Slots: slots, Experts: experts}
+	for range layers {
+		layer := make([]uint16, ranks*slots)
+		for i := range layer {
+			layer[i] = Empty
+		}
+		for e := range experts {
+			layer[e%ranks*slots+e/ranks] = uint16(e)
+		}
+		m.Layers = append(m.Layers, layer)
+	}
+	return m
+}
+
+// Rank returns the experts that a rank holds in a layer.
+func (m *Map) Rank(layer, rank int) []int {
+	var list []int
+	for _, e := range m.Layers[layer][rank*m.Slots : (rank+1)*m.Slots] {
+		if e != Empty {
+			list = append(list, int(e))
+		}
+	}
+	return list
+}
+
 // Loads holds the tokens routed to each expert, for each layer.
 type Loads [][]float64
 
@@ -110,7 +144,7 @@
 func missing(old, next []uint16) int {
 	n := 0
 	for i, e := range next {
-		if contains(old, e) || contains(next[:i], e) {
+		if e == Empty || contains(old, e) || contains(next[:i], e) {
 			continue
 		}
 		n++
@@ -131,10 +165,15 @@
 func rankLoads(layer []uint16, ranks, slots int, loads []float64) []float64 {
 	replicas := make([]float64, len(loads))
 	for _, e := range layer {
-		replicas[e]++
+		if e != Empty {
+			replicas[e]++
+		}
 	}
 	sums := make([]float64, ranks)
 	for i, e := range layer {
+		if e == Empty {
+			continue
+		}
 		sums[i/slots] += loads[e] / replicas[e]
 	}
 	return sums
--- a/internal/policy/chivemap/planner.go
+++ b/internal/policy/chivemap/planner.go
@@ -9,6 +9,9 @@
 	// MaxMoves bounds the slots that change in one layer of one plan; 0 sets no
 	// bound.
 	MaxMoves int
+	// MaxNew bounds the experts of one layer that one plan brings to a rank; 0
+	// sets no bound.
+	MaxNew int
 	// MoveCost is what one changed slot costs, in steps that it delays; 0 means
 	// 0.02.
 	MoveCost float64
@@ -58,6 +61,7 @@
 // planLayer returns the next placement of a layer, or nil to keep it.
 func (p Planner) planLayer(now *Map, i int, loads []float64) []uint16 {
 	s := newSearch(now, now.Layers[i], loads)
+	s.maxNew = p.MaxNew
 	if s.total == 0 {
 		return nil
 	}
@@ -91,6 +95,11 @@
 	sums         []float64
 	total        float64
 	target       float64
+	// before is the layer that the search began with.
+	before []uint16
+	// maxNew bounds the experts that a rank gets, fresh counts them.
+	maxNew int
+	fresh  []int
 	// where holds the slots of each expert.
 	where [][]int
 	// cool and light are the results of coolest and lightest, kept to spare
@@ -101,9 +110,12 @@
 func newSearch(m *Map, layer []uint16, loads []float64) *search {
 	s := &search{
 		ranks: m.Ranks, slots: m.Slots, layer: append([]uint16(nil), layer...), loads: loads,
-		counts: make([]int, m.Experts), where: make([][]int, m.Experts),
+		counts: make([]int, m.Experts), where: make([][]int, m.Experts), before: layer, fresh: make([]int, m.Ranks),
 	}
 	for i, e := range layer {
+		if e == Empty {
+			continue
+		}
 		s.counts[e]++
 		s.where[e] = append(s.where[e], i)
 	}
@@ -130,6 +142,9 @@
 
 // each returns the load of one slot of an expert.
 func (s *search) each(e uint16) float64 {
+	if e == Empty {
+		return 0
+	}
 	return s.loads[e] / float64(s.counts[e])
 }
 
@@ -185,7 +200,7 @@
 		return
 	}
 	for from := hot * s.slots; from < (hot+1)*s.slots; from++ {
-		if s.layer[to] == s.layer[from] {
+		if s.layer[to] == s.layer[from] || s.layer[from] == Empty || !s.mayBring(to/s.slots, s.layer[from]) {
 			continue
 		}
 		s.consider(best, change{from: from, to: to})
@@ -193,6 +208,16 @@
 	}
 }
 
+// mayBring reports whether a rank may get an expert within the bound of the plan.
+func (s *search) mayBring(rank int, e uint16) bool {
+	return s.maxNew == 0 || s.fresh[rank] < s.maxNew || s.had(rank, e)
+}
+
+// had reports whether a rank held an expert before the plan.
+func (s *search) had(rank int, e uint16) bool {
+	return e == Empty || contains(s.before[rank*s.slots:(rank+1)*s.slots], e)
+}
+
 // lightest returns the experts whose load on each slot is least after they lose
 // one.
 func (s *search) lightest() []int {
@@ -257,7 +282,7 @@
 func (s *search) swapGain(c change) float64 {
 	a, b := s.layer[c.from], s.layer[c.to]
 	i, j := c.from/s.slots, c.to/s.slots
-	if s.holds(j, a) || s.holds(i, b) {
+	if s.holds(j, a) || b != Empty && s.holds(i, b) || !s.mayBring(i, b) {
 		return 0
 	}
 	d := s.each(a) - s.each(b)
@@ -271,25 +296,35 @@
 // gets a further slot in place of another expert's.
 func (s *search) copyGain(c change) float64 {
 	a, b := s.layer[c.from], s.layer[c.to]
-	if s.counts[b] < 2 || s.holds(c.to/s.slots, a) {
+	if b != Empty && s.counts[b] < 2 || s.holds(c.to/s.slots, a) {
 		return 0
 	}
 	newA := s.loads[a] / float64(s.counts[a]+1)
-	newB := s.loads[b] / float64(s.counts[b]-1)
 	var gain float64
 	for _, slot := range s.where[a] {
 		l := s.sums[slot/s.slots]
 		gain += s.penalty(l) - s.penalty(l-s.each(a)+newA)
 	}
-	for _, slot := range s.where[b] {
-		if slot == c.to {
+	if b != Empty {
+		gain -= s.lossOf(b, c.to)
+	}
+	l := s.sums[c.to/s.slots]
+	return gain + s.penalty(l) - s.penalty(l-s.each(b)+newA)
+}
+
+// lossOf returns by how much the penalty grows on the other ranks that hold an
+// expert where it leaves a slot.
+func (s *search) lossOf(e uint16, leaves int) float64 {
+	more := s.loads[e] / float64(s.counts[e]-1)
+	var loss float64
+	for _, slot := range s.where[e] {
+		if slot == leaves {
 			continue
 		}
 		l := s.sums[slot/s.slots]
-		gain += s.penalty(l) - s.penalty(l-s.each(b)+newB)
+		loss += s.penalty(l-s.each(e)+more) - s.penalty(l)
 	}
-	l := s.sums[c.to/s.slots]
-	return gain + s.penalty(l) - s.penalty(l-s.each(b)+newA)
+	return loss
 }
 
 func (s *search) holds(rank int, e uint16) bool {
@@ -314,6 +349,9 @@
 
 // spread adds an expert's load to the ranks that hold it, or takes it off.
 func (s *search) spread(e uint16, sign float64) {
+	if e == Empty {
+		return
+	}
 	each := sign * s.each(e)
 	for _, slot := range s.where[e] {
 		s.sums[slot/s.slots] += each
@@ -321,15 +359,30 @@
 }
 
 func (s *search) put(slot int, e uint16) {
-	old := s.layer[slot]
-	s.counts[old]--
-	s.counts[e]++
-	for i, w := range s.where[old] {
+	old, rank := s.layer[slot], slot/s.slots
+	if !s.had(rank, old) {
+		s.fresh[rank]--
+	}
+	if !s.had(rank, e) {
+		s.fresh[rank]++
+	}
+	if old != Empty {
+		s.counts[old]--
+		s.forget(old, slot)
+	}
+	if e != Empty {
+		s.counts[e]++
+		s.where[e] = append(s.where[e], slot)
+	}
+	s.layer[slot] = e
+}
+
+// forget takes a slot off those of an expert.
+func (s *search) forget(e uint16, slot int) {
+	for i, w := range s.where[e] {
 		if w == slot {
-			s.where[old] = append(s.where[old][:i], s.where[old][i+1:]...)
-			break
+			s.where[e] = append(s.where[e][:i], s.where[e][i+1:]...)
+			return
 		}
 	}
-	s.where[e] = append(s.where[e], slot)
-	s.layer[slot] = e
 }
--- /dev/null
+++ b/internal/run/chivebalance/balancer.go
@@ -0,0 +1,165 @@
+// Package chivebalance implements the duty to keep the expert maps of groups in
+// balance: one entry VM holds it by a lease, reads which experts are in demand,
+// plans and changes maps.
+package chivebalance
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/chiveyoke/chiveyoke/internal/state/chivefleet"
+	"github.com/chiveyoke/chiveyoke/internal/state/chivelease"
+	"github.com/chiveyoke/chiveyoke/internal/state/chiverank"
+	"github.com/chiveyoke/chiveyoke/internal/state/chiverow"
+)
+
+// Counts is how often the requests of a rank chose each expert.
+type Counts struct {
+	Epoch int64
+	// Chosen holds the counts since the rank started, layer by layer.
+	Chosen []float64
+}
+
+// Held is what a rank holds.
+type Held struct {
+	Epoch   int64
+	Version int64
+	// Experts holds those of the rank, by layer.
+	Experts [][]int
+}
+
+// An Engine reads ranks and gives them orders.
+type Engine interface {
+	chiverank.Ranks
+	// Counts returns how often a rank's requests chose each expert.
+	Counts(ctx context.Context, m chiverank.Member) (Counts, error)
+	// Experts returns the experts that a rank holds.
+	Experts(ctx context.Context, m chiverank.Member) (Held, error)
+}
+
+const (
+	// duty names the lease.
+	duty = "maps"
+	// leaseTime is the time without a renewal after which the lease lapses.
+	leaseTime = 5 * time.Second
+	// renewPeriod is the time between two renewals, watchPeriod that between two
+	// looks at whether the holder lives.
+	renewPeriod = 1200 * time.Millisecond
+	watchPeriod = 500 * time.Millisecond
+	// storeTimeout bounds one step on the lease.
+	storeTimeout = 1200 * time.Millisecond
+)
+
+// A Balancer takes part in the duty.
+type Balancer struct {
+	Engine Engine
+	Table  chiverow.Table
+	// Name is that of this entry VM with its incarnation.
+	Name string
+	// Fleet returns the newest view of the fleet.
+	Fleet func() *chivefleet.Fleet
+	// Candidate reports whether this entry VM should try to hold the lease: no
+	// other one that is alive says that it holds it.
+	Candidate func() bool
+	Log       *log.Logger
+
+	holds  atomic.Bool
+	groups map[string]*group
+}
+
+// Holds reports whether this entry VM holds the duty.
+func (b *Balancer) Holds() bool {
+	return b.holds.Load()
+}
+
+// Run takes part until the context ends and then gives the lease back.
+func (b *Balancer) Run(ctx context.Context) error {
+	keeper := &chivelease.Keeper{Table: b.Table, Duty: duty, Holder: b.Name, TTL: leaseTime, Now: bootTime}
+	b.groups = map[string]*group{}
+	for ctx.Err() == nil {
+		if !b.Candidate() {
+			pause(ctx, watchPeriod)
+			continue
+		}
+		b.step(ctx, keeper)
+		if _, held := keeper.Held(); !held {
+			pause(ctx, watchPeriod)
+			continue
+		}
+		b.hold(ctx, keeper)
+	}
+	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), storeTimeout)
+	defer cancel()
+	if err := keeper.Release(last); err != nil {
+		b.Log.Warn("Lease was not given back.", "error", err)
+	}
+	return nil
+}
+
+// step renews the lease or tries to take it.
+func (b *Balancer) step(ctx context.Context, keeper *chivelease.Keeper) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	if err := keeper.Step(ctx); err != nil && ctx.Err() == nil {
+		b.Log.Warn("Lease could not be renewed or read.", "error", err)
+	}
+}
+
+// hold carries out the duty while the lease is held.
+func (b *Balancer) hold(ctx context.Context, keeper *chivelease.Keeper) {
+	fence, _ := keeper.Held()
+	b.Log.Info("Duty is held.", "duty", duty, "fence", fence)
+	b.holds.Store(true)
+	held, lose := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		b.work(held, keeper)
+	}()
+	for ctx.Err() == nil {
+		if _, ok := keeper.Held(); !ok {
+			break
+		}
+		pause(ctx, renewPeriod)
+		b.step(ctx, keeper)
+	}
+	b.holds.Store(false)
+	lose()
+	<-done
+	b.groups = map[string]*group{}
+	b.Log.Info("Duty is no longer held.", "duty", duty, "fence", fence)
+}
+
+// work balances all groups in turn.
+func (b *Balancer) work(ctx context.Context, lease chiverank.Lease) {
+	for ctx.Err() == nil {
+		fleet := b.Fleet()
+		found := gather(fleet)
+		for name, members := range found {
+			g := b.groups[name]
+			if g == nil {
+				g = newGroup(name, b, lease)
+				b.groups[name] = g
+			}
+			g.round(ctx, members)
+		}
+		for name := range b.groups {
+			if found[name] == nil {
+				delete(b.groups, name)
+			}
+		}
+		pause(ctx, roundPeriod)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/internal/run/chiveentry/entry.go
+++ b/internal/run/chiveentry/entry.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -18,12 +19,14 @@
 	"github.com/zeebo/errs"
 
 	"github.com/chiveyoke/chiveyoke/internal/peer/chiverunner"
+	"github.com/chiveyoke/chiveyoke/internal/run/chivebalance"
 	"github.com/chiveyoke/chiveyoke/internal/run/chivelog"
 	"github.com/chiveyoke/chiveyoke/internal/run/chivemesh"
 	"github.com/chiveyoke/chiveyoke/internal/run/chiverelay"
 	"github.com/chiveyoke/chiveyoke/internal/state/chiveboot"
 	"github.com/chiveyoke/chiveyoke/internal/state/chivefleet"
 	"github.com/chiveyoke/chiveyoke/internal/state/chivefollow"
+	"github.com/chiveyoke/chiveyoke/internal/state/chiverow"
 )
 
 // Error is the class of errors of this package.
@@ -100,7 +103,10 @@
 	Codec   Codec
 	Dialect chiverelay.Dialect
 	Front   Front
-	Logs    io.Writer
+	// Leases keeps the rows of leases.
+	Leases chiverow.Table
+	Engine chivebalance.Engine
+	Logs   io.Writer
 }
 
 // An Entry is the daemon.
@@ -112,6 +118,7 @@
 	tracker  *Tracker
 	mesh     *chivemesh.Mesh
 	relay    *chiverelay.Relay
+	balancer *chivebalance.Balancer
 	leaving  atomic.Bool
 }
 
@@ -125,8 +132,13 @@
 	})
 	e.tracker = NewTracker(parts.Codec, e.log.WithPrefix("fleet"))
 	board := chiverelay.NewBoard(settings.Limits)
+	e.balancer = &chivebalance.Balancer{
+		Engine: parts.Engine, Table: parts.Leases, Name: fmt.Sprintf("%s/%x", settings.Entry.Name, settings.Entry.Boot),
+		Fleet: e.tracker.Fleet, Candidate: e.candidate, Log: e.log.WithPrefix("maps"),
+	}
 	e.mesh = &chivemesh.Mesh{
-		Self: settings.Entry, Fleet: e.tracker.Fleet, Busy: board.Own, Heard: board.Peer, Log: e.log.WithPrefix("mesh"),
+		Self: settings.Entry, Fleet: e.tracker.Fleet, Busy: board.Own, Duty: e.balancer.Holds, Heard: board.Peer,
+		Log: e.log.WithPrefix("mesh"),
 	}
 	e.relay = &chiverelay.Relay{
 		Dialect: parts.Dialect, Board: board, Pool: &chiverunner.Pool{}, Log: e.log.WithPrefix("relay"),
@@ -164,6 +176,10 @@
 func (e *Entry) Run(ctx context.Context) error {
 	base, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	// The duty is given back as soon as the process is told to stop.
+	serving, yield := context.WithCancel(base)
+	defer yield()
+	context.AfterFunc(ctx, yield)
 	logged, endLogs := context.WithCancel(context.Background())
 	defer endLogs()
 	callers := &http.Server{
@@ -178,6 +194,11 @@
 	}
 	group.Add(func() error { return e.tracker.Run(base) }, interrupt)
 	group.Add(func() error { return e.mesh.Run(base) }, interrupt)
+	group.Add(func() error {
+		err := e.balancer.Run(serving)
+		<-base.Done()
+		return err
+	}, interrupt)
 	group.Add(func() error { return e.register(base) }, interrupt)
 	group.Add(func() error { return e.trim(base) }, interrupt)
 	group.Add(func() error { return e.logs.Run(logged) }, func(error) { endLogs() })
@@ -232,6 +253,20 @@
 	}
 }
 
+// candidate reports whether this entry VM should try to hold the duty to balance
+// expert maps: nobody alive holds it, and no peer with a smaller name could.
+func (e *Entry) candidate() bool {
+	if e.leaving.Load() || e.tracker.Fleet().Config == nil {
+		return false
+	}
+	for _, p := range e.mesh.Peers() {
+		if p.Duty || !p.Leaving && p.Entry.Name < e.settings.Entry.Name {
+			return false
+		}
+	}
+	return true
+}
+
 // ready reports whether this entry VM serves.
 func (e *Entry) ready() bool {
 	f := e.fleet()
--- a/internal/run/chivemesh/mesh.go
+++ b/internal/run/chivemesh/mesh.go
@@ -35,6 +35,8 @@
 type Peer struct {
 	Entry   chivefleet.Entry
 	Leaving bool
+	// Duty says that it holds the duty to balance expert maps.
+	Duty    bool
 	Version int64
 	// Confirmed is a moment of the local clock at which the peer's configuration
 	// was the newest; 0 where none is known.
@@ -55,6 +57,8 @@
 	Fleet func() *chivefleet.Fleet
 	// Busy returns the number of requests at each runner.
 	Busy func() map[string]int
+	// Duty reports whether this entry VM holds the duty to balance expert maps.
+	Duty func() bool
 	// Heard takes the load of a peer.
 	Heard func(name string, busy map[string]int)
 	Log   *log.Logger
@@ -149,7 +153,7 @@
 	m.mu.Lock()
 	leaving := m.leaving
 	m.mu.Unlock()
-	r := Report{From: m.Self.Name, Boot: m.Self.Boot, Leaving: leaving, Busy: m.Busy()}
+	r := Report{From: m.Self.Name, Boot: m.Self.Boot, Leaving: leaving, Busy: m.Busy(), Duty: m.Duty()}
 	if fleet.Config != nil {
 		r.Version, r.Age = fleet.Config.Version, chiveboot.Since(fleet.Confirmed)
 	}
@@ -234,7 +238,7 @@
 		p.Confirmed = 0
 	}
 	p.boot, p.sent, p.Heard, p.alive = r.Boot, r.Sent, now, true
-	p.Leaving = r.Leaving
+	p.Leaving, p.Duty = r.Leaving, r.Duty
 	// The echoed report was sent before the peer answered, so that the peer's
 	// confirmation is at least as new as this moment of the local clock, however
 	// long the datagrams took.
--- a/internal/run/chivemesh/message.go
+++ b/internal/run/chivemesh/message.go
@@ -23,6 +23,8 @@
 	Kept time.Duration    `cbor:"kept,omitempty"`
 	// Leaving entry VMs take no new callers.
 	Leaving bool `cbor:"leaving,omitempty"`
+	// Duty says that the sender holds the duty to balance expert maps.
+	Duty bool `cbor:"duty,omitempty"`
 	// Version is that of the sender's configuration, known to be the newest Age
 	// before the report.
 	Version int64         `cbor:"version"`
--- a/internal/state/chivefleet/runner.go
+++ b/internal/state/chivefleet/runner.go
@@ -16,6 +16,20 @@
 	Cold chiveboot.Moment
 	// Born is the Unix millisecond of the runner's start, 0 where it is unknown.
 	Born int64
+	// Group is the runner's place in a group of ranks, nil where it has none.
+	Group *Rank
+}
+
+// A Rank is the place of a runner in a group of ranks.
+type Rank struct {
+	Name string
+	// Epoch counts the formations of the group.
+	Epoch int64
+	Rank  int
+	// Size is the number of ranks of the group.
+	Size int
+	// Open groups carry out passes.
+	Open bool
 }
 
 // Incarnation identifies one start of a runner.
--- /dev/null
+++ b/internal/state/chiverank/switcher.go
@@ -0,0 +1,268 @@
+package chiverank
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+)
+
+const (
+	// orderTimeout bounds one try of an order: a few round trips between zones.
+	orderTimeout = 250 * time.Millisecond
+	// orderPause is the pause between two tries of an order.
+	orderPause = 30 * time.Millisecond
+	// prepareTime bounds the copying of experts.
+	prepareTime = 8 * time.Second
+	// reportPause is the pause between two looks at ranks that copy.
+	reportPause = 150 * time.Millisecond
+	// firstLead is the number of passes between the last reported and the one at
+	// which the map changes; it doubles while passes go by too fast.
+	firstLead = 8
+	leadTries = 4
+	// armTime is how long arms are tried before the change is undone.
+	armTime = 6 * time.Second
+	// fenceShift makes room for the rounds of one lease in a token.
+	fenceShift = 20
+)
+
+// A Switcher changes the expert map of one group. A pass may never begin while
+// two ranks have different maps, so the group is held at the pass of the change
+// before any rank is armed for it, and let go once all ranks have confirmed. A
+// switcher that stops half-way leaves the group held; the next leaseholder
+// undoes or finishes the change.
+type Switcher struct {
+	Ranks Ranks
+	Lease Lease
+	Log   *log.Logger
+	// Group names the group.
+	Group string
+
+	rounds int64
+}
+
+// token returns a token above all earlier ones, or an error without the lease.
+func (s *Switcher) token() (int64, error) {
+	fence, held := s.Lease.Held()
+	if !held {
+		return 0, Error.New("lease on group %s is not held", s.Group)
+	}
+	s.rounds++
+	return int64(fence)<<fenceShift | s.rounds, nil
+}
+
+// Switch makes a map the one that all ranks use. Members are all ranks of the
+// group in one epoch, in their order. Copies is how long copying the experts
+// takes at least.
+func (s *Switcher) Switch(ctx context.Context, members []Member, epoch int64, layout [][][]int, copies time.Duration) (version int64, err error) {
+	token, err := s.token()
+	if err != nil {
+		return 0, err
+	}
+	// Tokens only grow, so that each serves as the version of its map, too.
+	order := Order{Op: Prepare, Token: token, Epoch: epoch, Version: token, Map: layout}
+	if err := s.all(ctx, members, order, prepareTime); err != nil {
+		return 0, err
+	}
+	pass, err := s.awaitPrepared(ctx, members, epoch, token, copies)
+	if err != nil {
+		return 0, err
+	}
+	order.Map = nil
+	pass, err = s.hold(ctx, members[0], order, pass)
+	if err != nil {
+		return 0, err
+	}
+	order.Op, order.Pass = Arm, pass
+	if err := s.all(ctx, members, order, armTime); err != nil {
+		s.Log.Warn("Map change is undone.", "group", s.Group, "version", token, "pass", pass, "error", err)
+		if undone := s.undo(ctx, members, epoch, token, pass); undone != nil {
+			return 0, fmt.Errorf("%w; and then: %w", err, undone)
+		}
+		return 0, err
+	}
+	order.Op = Go
+	if err := s.persist(ctx, members[0], order, armTime); err != nil && !errors.Is(err, ErrConflict) {
+		return 0, err
+	}
+	return token, nil
+}
+
+// awaitPrepared waits until all ranks have copied their experts. It returns the
+// newest pass seen.
+func (s *Switcher) awaitPrepared(ctx context.Context, members []Member, epoch, version int64, copies time.Duration) (int64, error) {
+	if err := sleep(ctx, copies); err != nil {
+		return 0, err
+	}
+	ready := make([]bool, len(members))
+	until := time.Now().Add(prepareTime)
+	var pass int64
+	for {
+		reports := s.reports(ctx, members, ready)
+		left := 0
+		for i, r := range reports {
+			switch {
+			case ready[i]:
+			case r == nil:
+				left++
+			case r.Epoch != epoch || !r.Open:
+				return 0, Error.New("group %s is in epoch %d, not %d, or broken", s.Group, r.Epoch, epoch)
+			default:
+				pass = max(pass, r.Pass)
+				if ready[i] = r.Prepared == version; !ready[i] {
+					left++
+				}
+			}
+		}
+		if left == 0 {
+			return pass, nil
+		}
+		if time.Now().After(until) {
+			return 0, Error.New("%d ranks of group %s did not copy their experts", left, s.Group)
+		}
+		if err := sleep(ctx, reportPause); err != nil {
+			return 0, err
+		}
+	}
+}
+
+// hold holds the group a few passes ahead.
+func (s *Switcher) hold(ctx context.Context, m Member, o Order, pass int64) (int64, error) {
+	o.Op = Hold
+	for lead := int64(firstLead); lead <= firstLead<<leadTries; lead *= 2 {
+		o.Pass = pass + lead
+		err := s.persist(ctx, m, o, armTime)
+		if err == nil {
+			return o.Pass, nil
+		}
+		if !errors.Is(err, ErrConflict) {
+			return 0, err
+		}
+		if r, err := s.Ranks.Report(ctx, m); err == nil {
+			pass = max(pass, r.Pass)
+		}
+	}
+	return 0, Error.New("group %s could not be held", s.Group)
+}
+
+// undo takes a change back that some ranks may be armed for, and lets the group
+// go. Each rank must confirm, since a rank that does not could still carry out
+// an arm that is late; until then the group stays held.
+func (s *Switcher) undo(ctx context.Context, members []Member, epoch, version, pass int64) error {
+	token, err := s.token()
+	if err != nil {
+		return err
+	}
+	o := Order{Op: Hold, Token: token, Epoch: epoch, Version: version, Pass: pass}
+	// The hold is confirmed under the new token first: then no older order lets
+	// the group go while ranks are being disarmed.
+	if err := s.persist(ctx, members[0], o, armTime); err != nil {
+		return err
+	}
+	o.Op = Disarm
+	if err := s.all(ctx, members, o, armTime); err != nil {
+		return err
+	}
+	o.Op = Go
+	if err := s.persist(ctx, members[0], o, armTime); err != nil && !errors.Is(err, ErrConflict) {
+		return err
+	}
+	return nil
+}
+
+// Recover undoes a change that another leaseholder left half-way. It reports
+// whether the group is settled: all ranks in one epoch, none held or armed.
+func (s *Switcher) Recover(ctx context.Context, members []Member) (settled bool, reports []*Report, err error) {
+	reports = s.reports(ctx, members, make([]bool, len(members)))
+	held, armed := int64(-1), int64(0)
+	for i, r := range reports {
+		if r == nil {
+			return false, reports, Error.New("rank %d of group %s does not report", members[i].Rank, s.Group)
+		}
+		if !r.Open || r.Epoch != reports[0].Epoch {
+			return false, reports, nil
+		}
+		held, armed = max(held, r.Held), max(armed, r.Armed)
+	}
+	if held >= 0 {
+		s.Log.Warn("Group is held half-way through a change.", "group", s.Group, "pass", held, "armed", armed)
+		return false, reports, s.undo(ctx, members, reports[0].Epoch, armed, held)
+	}
+	return armed == 0, reports, nil
+}
+
+// reports reads the state of the ranks that are not skipped; those that do not
+// answer have none.
+func (s *Switcher) reports(ctx context.Context, members []Member, skip []bool) []*Report {
+	list := make([]*Report, len(members))
+	var reading sync.WaitGroup
+	for i, m := range members {
+		if skip[i] {
+			continue
+		}
+		reading.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+			defer cancel()
+			r, err := s.Ranks.Report(ctx, m)
+			if err != nil {
+				s.Log.Debug("Rank does not report.", "group", s.Group, "rank", m.Rank, "error", err)
+				return
+			}
+			list[i] = &r
+		})
+	}
+	reading.Wait()
+	return list
+}
+
+// all sends an order to every rank until each has confirmed it.
+func (s *Switcher) all(ctx context.Context, members []Member, o Order, limit time.Duration) error {
+	failures := make([]error, len(members))
+	var sending sync.WaitGroup
+	for i, m := range members {
+		sending.Go(func() { failures[i] = s.persist(ctx, m, o, limit) })
+	}
+	sending.Wait()
+	for i, err := range failures {
+		if err != nil {
+			return fmt.Errorf("rank %d of group %s: %w", members[i].Rank, s.Group, err)
+		}
+	}
+	return nil
+}
+
+// persist sends an order to one rank until it is confirmed or refused.
+func (s *Switcher) persist(ctx context.Context, m Member, o Order, limit time.Duration) error {
+	until := time.Now().Add(limit)
+	for {
+		if fence, held := s.Lease.Held(); !held || int64(fence) != o.Token>>fenceShift {
+			return Error.New("lease on group %s has lapsed", s.Group)
+		}
+		each, cancel := context.WithTimeout(ctx, orderTimeout)
+		err := s.Ranks.Order(each, m, o)
+		cancel()
+		if err == nil || errors.Is(err, ErrConflict) || errors.Is(err, ErrFenced) {
+			return err
+		}
+		if ctx.Err() != nil || time.Now().After(until) {
+			return err
+		}
+		if err := sleep(ctx, orderPause); err != nil {
+			return err
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
