Read and order ranks through a process beside each runner

Change: a scout on each endpoint VM reads counts and reports and gives orders; the holder of the duty asks all of them every 250 ms, and goes to a rank itself where no scout answers. It waits for the pass of the last change.

--- a/cmd/chiveyoke-entry/main.go
+++ b/cmd/chiveyoke-entry/main.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"github.com/chiveyoke/chiveyoke/internal/peer/chivescout"
 	"github.com/chiveyoke/chiveyoke/internal/run/chiveentry"
 	"github.com/chiveyoke/chiveyoke/internal/run/chiverelay"
 	"github.com/chiveyoke/chiveyoke/internal/state/chivefleet"
@@ -35,7 +36,7 @@
 	}
 	store := platform.NewStore(s.Store.Address)
 	return chiveentry.New(settings(s), chiveentry.Parts{
-		Store: store, Leases: &platform.Table{Store: store, Name: platform.TableLeases}, Engine: platform.NewEngine(), Codec: platform.Codec{}, Dialect: platform.Dialect{},
+		Store: store, Leases: &platform.Table{Store: store, Name: platform.TableLeases}, Engine: chivescout.NewClient(s.Ports[0], platform.NewEngine()), Codec: platform.Codec{}, Dialect: platform.Dialect{},
 		Front: platform.Front{}, Logs: os.Stdout,
 	}).Run(ctx)
 }
--- /dev/null
+++ b/cmd/chiveyoke-scout/main.go
@@ -0,0 +1,59 @@
+// Command chiveyoke-scout is the daemon beside a model runner on the users'
+// platform.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/chiveyoke/chiveyoke/internal/peer/chivescout"
+	"github.com/chiveyoke/chiveyoke/platform"
+)
+
+const (
+	// headerTimeout bounds the reading of a call's header.
+	headerTimeout = 5 * time.Second
+	// stopTimeout bounds the calls that are still served at the end.
+	stopTimeout = time.Second
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	// The settings that a process reads do not change while it runs.
+	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
+	if err := serve(ctx); err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, "chiveyoke-scout:", err)
+		os.Exit(1)
+	}
+}
+
+func serve(ctx context.Context) error {
+	s, err := platform.LoadScoutSettings()
+	if err != nil {
+		return err
+	}
+	scout := &chivescout.Server{Engine: platform.NewEngine(), Address: s.Runner}
+	server := &http.Server{
+		Addr: net.JoinHostPort(s.IP, strconv.Itoa(s.Ports[0])), Handler: scout.Handler(), ReadHeaderTimeout: headerTimeout,
+	}
+	context.AfterFunc(ctx, func() {
+		last, cancel := context.WithTimeout(context.Background(), stopTimeout)
+		defer cancel()
+		if err := server.Shutdown(last); err != nil {
+			_, _ = fmt.Fprintln(os.Stderr, "chiveyoke-scout: calls were cut off:", err)
+		}
+	})
+	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/peer/chivescout/client.go
@@ -0,0 +1,172 @@
+package chivescout
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/chiveyoke/chiveyoke/internal/state/chiverank"
+)
+
+const (
+	// dialTimeout bounds a new connection to a scout.
+	dialTimeout = 200 * time.Millisecond
+	// idleTime is how long an idle connection to a scout is kept.
+	idleTime = 20 * time.Second
+	// absence is how long a scout that did not answer is passed over.
+	absence = 2 * time.Second
+	// contentType is that of the bodies.
+	contentType = "application/cbor"
+)
+
+// A Client calls ranks through the scouts beside them, or directly where there is
+// no scout. It implements chiverank.Engine.
+type Client struct {
+	// Port is that on which scouts listen at the address of their runner.
+	Port int
+	// Direct reaches ranks without a scout.
+	Direct chiverank.Engine
+
+	client *http.Client
+	mu     sync.Mutex
+	absent map[string]time.Time
+}
+
+// NewClient returns a new Client.
+func NewClient(port int, direct chiverank.Engine) *Client {
+	return &Client{Port: port, Direct: direct, absent: map[string]time.Time{}, client: &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout, KeepAlive: time.Second}).DialContext,
+		IdleConnTimeout:     idleTime,
+		MaxIdleConnsPerHost: 2,
+		DisableCompression:  true,
+	}}}
+}
+
+// Order implements chiverank.Ranks.Order.
+func (c *Client) Order(ctx context.Context, m chiverank.Member, o chiverank.Order) error {
+	r, ok, err := c.call(ctx, m, pathOrder, Query{Order: &o})
+	if !ok {
+		return c.Direct.Order(ctx, m, o)
+	}
+	if err != nil {
+		return err
+	}
+	switch r.Refused {
+	case refusedConflict:
+		return Error.Wrap(fmt.Errorf("%w: %s", chiverank.ErrConflict, r.Error))
+	case refusedFenced:
+		return Error.Wrap(fmt.Errorf("%w: %s", chiverank.ErrFenced, r.Error))
+	}
+	return r.failed()
+}
+
+// Report implements chiverank.Ranks.Report.
+func (c *Client) Report(ctx context.Context, m chiverank.Member) (chiverank.Report, error) {
+	r, ok, err := c.call(ctx, m, pathReport, Query{})
+	if !ok {
+		return c.Direct.Report(ctx, m)
+	}
+	if err != nil || r.Report == nil {
+		return chiverank.Report{}, orFailed(err, r)
+	}
+	return *r.Report, nil
+}
+
+// Counts implements chiverank.Engine.Counts.
+func (c *Client) Counts(ctx context.Context, m chiverank.Member) (chiverank.Counts, error) {
+	r, ok, err := c.call(ctx, m, pathCounts, Query{})
+	if !ok {
+		return c.Direct.Counts(ctx, m)
+	}
+	if err != nil || r.Counts == nil {
+		return chiverank.Counts{}, orFailed(err, r)
+	}
+	return *r.Counts, nil
+}
+
+// Experts implements chiverank.Engine.Experts.
+func (c *Client) Experts(ctx context.Context, m chiverank.Member) (chiverank.Held, error) {
+	r, ok, err := c.call(ctx, m, pathExperts, Query{})
+	if !ok {
+		return c.Direct.Experts(ctx, m)
+	}
+	if err != nil || r.Held == nil {
+		return chiverank.Held{}, orFailed(err, r)
+	}
+	return *r.Held, nil
+}
+
+// failed returns the failure that a reply tells of.
+func (r *Reply) failed() error {
+	if r.Error == "" {
+		return nil
+	}
+	return Error.New("%s", r.Error)
+}
+
+func orFailed(err error, r *Reply) error {
+	if err != nil {
+		return err
+	}
+	if err := r.failed(); err != nil {
+		return err
+	}
+	return Error.New("answer is empty")
+}
+
+// call makes one call. It reports false where there is no scout: then nothing
+// was sent.
+func (c *Client) call(ctx context.Context, m chiverank.Member, path string, q Query) (*Reply, bool, error) {
+	host, _, err := net.SplitHostPort(m.Address)
+	if err != nil || !c.present(host) {
+		return nil, false, nil
+	}
+	q.ID, q.Rank = m.ID, m.Rank
+	body, err := cbor.Marshal(&q)
+	if err != nil {
+		return nil, true, Error.Wrap(err)
+	}
+	url := "http://" + net.JoinHostPort(host, strconv.Itoa(c.Port)) + path
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, true, Error.Wrap(err)
+	}
+	req.Header.Set("Content-Type", contentType)
+	resp, err := c.client.Do(req)
+	if err != nil {
+		c.miss(host)
+		return nil, true, Error.Wrap(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, true, Error.Wrap(err)
+	}
+	var r Reply
+	if err := cbor.Unmarshal(data, &r); err != nil {
+		return nil, true, Error.New("scout at %s answered %d: %v", host, resp.StatusCode, err)
+	}
+	return &r, true, nil
+}
+
+// present reports whether the scout at a host answered lately or was not tried.
+func (c *Client) present(host string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Now().After(c.absent[host])
+}
+
+// miss passes a scout over for a while.
+func (c *Client) miss(host string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.absent[host] = time.Now().Add(absence)
+}
--- /dev/null
+++ b/internal/peer/chivescout/server.go
@@ -0,0 +1,90 @@
+package chivescout
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/chiveyoke/chiveyoke/internal/state/chiverank"
+)
+
+// maxQuery is the largest body of a call, in bytes.
+const maxQuery = 4 << 20
+
+// A Server carries calls to the runner on its own VM.
+type Server struct {
+	Engine chiverank.Engine
+	// Address is that of the runner.
+	Address string
+}
+
+// Handler returns the calls.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	for path, do := range map[string]func(context.Context, chiverank.Member, *Query, *Reply) error{
+		pathOrder: s.order, pathReport: s.report, pathCounts: s.counts, pathExperts: s.experts,
+	} {
+		mux.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) {
+			var q Query
+			data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxQuery))
+			if err == nil {
+				err = cbor.Unmarshal(data, &q)
+			}
+			if err != nil {
+				http.Error(w, err.Error(), http.StatusBadRequest)
+				return
+			}
+			var reply Reply
+			if err := do(r.Context(), chiverank.Member{ID: q.ID, Address: s.Address, Rank: q.Rank}, &q, &reply); err != nil {
+				reply = failure(err)
+			}
+			data, err = cbor.Marshal(&reply)
+			if err != nil {
+				http.Error(w, err.Error(), http.StatusInternalServerError)
+				return
+			}
+			// The caller notices an answer that cannot be written.
+			_, _ = w.Write(data)
+		})
+	}
+	return mux
+}
+
+func (s *Server) order(ctx context.Context, m chiverank.Member, q *Query, _ *Reply) error {
+	if q.Order == nil {
+		return Error.New("order is missing")
+	}
+	return s.Engine.Order(ctx, m, *q.Order)
+}
+
+func (s *Server) report(ctx context.Context, m chiverank.Member, _ *Query, r *Reply) error {
+	report, err := s.Engine.Report(ctx, m)
+	r.Report = &report
+	return err
+}
+
+func (s *Server) counts(ctx context.Context, m chiverank.Member, _ *Query, r *Reply) error {
+	counts, err := s.Engine.Counts(ctx, m)
+	r.Counts = &counts
+	return err
+}
+
+func (s *Server) experts(ctx context.Context, m chiverank.Member, _ *Query, r *Reply) error {
+	held, err := s.Engine.Experts(ctx, m)
+	r.Held = &held
+	return err
+}
+
+// failure returns the answer for a call that failed.
+func failure(err error) Reply {
+	switch {
+	case errors.Is(err, chiverank.ErrConflict):
+		return Reply{Refused: refusedConflict, Error: err.Error()}
+	case errors.Is(err, chiverank.ErrFenced):
+		return Reply{Refused: refusedFenced, Error: err.Error()}
+	}
+	return Reply{Error: err.Error()}
+}
--- a/internal/run/chivebalance/balancer.go
+++ b/internal/run/chivebalance/balancer.go
@@ -16,30 +16,6 @@
 	"github.com/chiveyoke/chiveyoke/internal/state/chiverow"
 )
 
-// Counts is how often the requests of a rank chose each expert.
-type Counts struct {
-	Epoch int64
-	// Chosen holds the counts since the rank started, layer by layer.
-	Chosen []float64
-}
-
-// Held is what a rank holds.
-type Held struct {
-	Epoch   int64
-	Version int64
-	// Experts holds those of the rank, by layer.
-	Experts [][]int
-}
-
-// An Engine reads ranks and gives them orders.
-type Engine interface {
-	chiverank.Ranks
-	// Counts returns how often a rank's requests chose each expert.
-	Counts(ctx context.Context, m chiverank.Member) (Counts, error)
-	// Experts returns the experts that a rank holds.
-	Experts(ctx context.Context, m chiverank.Member) (Held, error)
-}
-
 const (
 	// duty names the lease.
 	duty = "maps"
@@ -55,7 +31,7 @@
 
 // A Balancer takes part in the duty.
 type Balancer struct {
-	Engine Engine
+	Engine chiverank.Engine
 	Table  chiverow.Table
 	// Name is that of this entry VM with its incarnation.
 	Name string
--- a/internal/run/chivebalance/group.go
+++ b/internal/run/chivebalance/group.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sort"
+	"sync"
 	"time"
 
 	"github.com/chiveyoke/chiveyoke/internal/policy/chivemap"
@@ -13,15 +14,16 @@
 
 const (
 	// roundPeriod is the time between two looks at the groups.
-	roundPeriod = 600 * time.Millisecond
+	roundPeriod = 250 * time.Millisecond
 	// readTimeout bounds one reading of a rank.
 	readTimeout = 400 * time.Millisecond
-	// samples is the number of ranks whose counts are read in a round.
-	samples = 2
 	// minGain is the least part of the step time that a change must save.
-	minGain = 0.06
+	minGain = 0.12
 	// tolerance is how far above its bound the hottest rank may stay.
 	tolerance = 0.06
+	// oddReports is the number of reports in a row that may show a change in
+	// progress although there is none.
+	oddReports = 2
 	// horizon is the number of forward steps over which a gain must pay.
 	horizon = 400
 	// moveCost is what one copied expert costs, in steps that it delays.
@@ -104,13 +106,17 @@
 	// epoch is that for which the map is known; now is nil where it is not.
 	epoch int64
 	now   *chivemap.Map
+	// version is that of the map.
+	version int64
+	// odd counts the reports in a row that show a change in progress.
+	odd int
 	// read holds the last counts of each rank.
-	read map[int]Counts
+	read map[int]chiverank.Counts
 }
 
 func newGroup(name string, b *Balancer, lease chiverank.Lease) *group {
 	return &group{
-		name: name, balancer: b, read: map[int]Counts{},
+		name: name, balancer: b, read: map[int]chiverank.Counts{},
 		switcher: &chiverank.Switcher{Ranks: b.Engine, Lease: lease, Log: b.Log, Group: name},
 	}
 }
@@ -174,8 +180,8 @@
 		g.balancer.Log.Warn("Map of the group is malformed.", "group", g.name, "error", err)
 		return
 	}
-	g.now, g.epoch = m, reports[0].Epoch
-	g.read, g.smoother = map[int]Counts{}, chivemap.Smoother{}
+	g.now, g.epoch, g.version, g.odd = m, reports[0].Epoch, reports[0].Map, 0
+	g.read, g.smoother = map[int]chiverank.Counts{}, chivemap.Smoother{}
 	g.balancer.Log.Info("Map of the group is known.", "group", g.name, "epoch", g.epoch, "version", reports[0].Map)
 }
 
@@ -214,36 +220,51 @@
 		g.now = nil
 		return false
 	}
-	if r.Held >= 0 || r.Armed > 0 {
-		g.now = nil
+	if r.Held < 0 && r.Armed == 0 {
+		g.odd = 0
+		return true
+	}
+	if r.Held < 0 && r.Armed == g.version {
+		// The pass of the last change has not begun yet.
 		return false
 	}
-	return true
+	// Reports are late, so that one may show what has just ended.
+	if g.odd++; g.odd > oddReports {
+		g.now = nil
+	}
+	return false
 }
 
-// sample reads the counts of a few ranks and returns what was chosen since their
+// sample reads the counts of all ranks and returns what was chosen since their
 // last reading, or nil.
 func (g *group) sample(ctx context.Context, f *formation) chivemap.Loads {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	read := make([]*chiverank.Counts, len(f.members))
+	var reading sync.WaitGroup
+	for i, m := range f.members {
+		reading.Go(func() {
+			counts, err := g.balancer.Engine.Counts(ctx, m)
+			if err != nil {
+				g.balancer.Log.Debug("Counts cannot be read.", "group", g.name, "rank", m.Rank, "error", err)
+				return
+			}
+			read[i] = &counts
+		})
+	}
+	reading.Wait()
 	e := f.engine
 	sum := make([]float64, e.Sets*e.Experts)
 	found := false
-	// The same ranks are read each time, so that every reading gives a
-	// difference; they are spread over the group.
-	for i := range min(samples, len(f.members)) {
-		m := f.members[i*len(f.members)/samples]
-		each, cancel := context.WithTimeout(ctx, readTimeout)
-		counts, err := g.balancer.Engine.Counts(each, m)
-		cancel()
-		if err != nil || len(counts.Chosen) != len(sum) {
-			g.balancer.Log.Debug("Counts cannot be read.", "group", g.name, "rank", m.Rank, "error", err)
+	for i, counts := range read {
+		if counts == nil || len(counts.Chosen) != len(sum) {
 			continue
 		}
-		before, ok := g.read[m.Rank]
-		g.read[m.Rank] = counts
-		if !ok || before.Epoch != counts.Epoch {
-			continue
+		before, ok := g.read[i]
+		g.read[i] = *counts
+		if ok && before.Epoch == counts.Epoch {
+			found = addSince(sum, before.Chosen, counts.Chosen) || found
 		}
-		found = addSince(sum, before.Chosen, counts.Chosen) || found
 	}
 	if !found {
 		return nil
@@ -257,15 +278,16 @@
 
 // addSince adds what was chosen between two readings. It returns false where the
 // rank has started anew or chose nothing.
-func addSince(sum, before, now []float64) bool {
+func addSince(sum []float64, before, now []int64) bool {
 	some := false
 	for i := range now {
-		d := now[i] - before[i]
-		if d < 0 {
+		if now[i] < before[i] {
 			return false
 		}
-		sum[i] += d
-		some = some || d > 0
+		some = some || now[i] > before[i]
+	}
+	for i := range now {
+		sum[i] += float64(now[i] - before[i])
 	}
 	return some
 }
@@ -289,7 +311,7 @@
 		g.now = nil
 		return
 	}
-	g.now = next
+	g.now, g.version = next, version
 	g.balancer.Log.Info("Map is changed.", "group", g.name, "epoch", g.epoch, "version", version, "moves", moves,
 		"skew", before, "forecast", after, "took", time.Since(began))
 }
--- a/internal/run/chiveentry/entry.go
+++ b/internal/run/chiveentry/entry.go
@@ -26,6 +26,7 @@
 	"github.com/chiveyoke/chiveyoke/internal/state/chiveboot"
 	"github.com/chiveyoke/chiveyoke/internal/state/chivefleet"
 	"github.com/chiveyoke/chiveyoke/internal/state/chivefollow"
+	"github.com/chiveyoke/chiveyoke/internal/state/chiverank"
 	"github.com/chiveyoke/chiveyoke/internal/state/chiverow"
 )
 
@@ -105,7 +106,7 @@
 	Front   Front
 	// Leases keeps the rows of leases.
 	Leases chiverow.Table
-	Engine chivebalance.Engine
+	Engine chiverank.Engine
 	Logs   io.Writer
 }
 
--- a/internal/state/chiverank/rank.go
+++ b/internal/state/chiverank/rank.go
@@ -88,3 +88,27 @@
 	// Held returns the fencing token and whether the lease is held now.
 	Held() (uint64, bool)
 }
+
+// Counts is how often the requests of a rank chose each expert.
+type Counts struct {
+	Epoch int64
+	// Chosen holds the counts since the rank started, layer by layer.
+	Chosen []int64
+}
+
+// Held is what a rank holds.
+type Held struct {
+	Epoch   int64
+	Version int64
+	// Experts holds those of the rank, by layer.
+	Experts [][]int
+}
+
+// An Engine reads ranks and gives them orders.
+type Engine interface {
+	Ranks
+	// Counts returns how often a rank's requests chose each expert.
+	Counts(ctx context.Context, m Member) (Counts, error)
+	// Experts returns the experts that a rank holds.
+	Experts(ctx context.Context, m Member) (Held, error)
+}
