Keep the map duty through outages, and pass it on at once

Change: tokens outlive the switcher; a holder acts until another is seen, which is safe since ranks refuse all but the newest fence; candidates must reach the store; a holder whose process has a new incarnation counts as gone; answers of the directory last 1 s, and requests are taken for 2.9 s after SIGTERM.

--- a/internal/run/chivebalance/balancer.go
+++ b/internal/run/chivebalance/balancer.go
@@ -20,11 +20,11 @@
 	// duty names the lease.
 	duty = "maps"
 	// leaseTime is the time without a renewal after which the lease lapses.
-	leaseTime = 5 * time.Second
+	leaseTime = 4 * time.Second
 	// renewPeriod is the time between two renewals, watchPeriod that between two
 	// looks at whether the holder lives.
-	renewPeriod = 1200 * time.Millisecond
-	watchPeriod = 500 * time.Millisecond
+	renewPeriod = time.Second
+	watchPeriod = 250 * time.Millisecond
 	// storeTimeout bounds one step on the lease.
 	storeTimeout = 1200 * time.Millisecond
 )
@@ -40,10 +40,28 @@
 	// Candidate reports whether this entry VM should try to hold the lease: no
 	// other one that is alive says that it holds it.
 	Candidate func() bool
-	Log       *log.Logger
+	// Gone reports whether the process of a name has ended.
+	Gone func(name string) bool
+	Log  *log.Logger
 
 	holds  atomic.Bool
 	groups map[string]*group
+	// rounds counts the tokens of each group that this process has given.
+	rounds map[string]*int64
+}
+
+// tenure is the duty of a holder. It lasts until another holder is seen, also
+// while the store cannot be reached: the ranks refuse the orders of all but the
+// newest holder, so that an old one does no harm.
+type tenure struct {
+	keeper *chivelease.Keeper
+	fenced atomic.Bool
+}
+
+// Held implements chiverank.Lease.Held.
+func (t *tenure) Held() (uint64, bool) {
+	fence, _ := t.keeper.Held()
+	return fence, fence != 0 && !t.fenced.Load()
 }
 
 // Holds reports whether this entry VM holds the duty.
@@ -53,8 +71,8 @@
 
 // Run takes part until the context ends and then gives the lease back.
 func (b *Balancer) Run(ctx context.Context) error {
-	keeper := &chivelease.Keeper{Table: b.Table, Duty: duty, Holder: b.Name, TTL: leaseTime, Now: bootTime}
-	b.groups = map[string]*group{}
+	keeper := &chivelease.Keeper{Table: b.Table, Duty: duty, Holder: b.Name, TTL: leaseTime, Now: bootTime, Gone: b.Gone}
+	b.groups, b.rounds = map[string]*group{}, map[string]*int64{}
 	for ctx.Err() == nil {
 		if !b.Candidate() {
 			pause(ctx, watchPeriod)
@@ -86,17 +104,18 @@
 
 // hold carries out the duty while the lease is held.
 func (b *Balancer) hold(ctx context.Context, keeper *chivelease.Keeper) {
-	fence, _ := keeper.Held()
+	term := &tenure{keeper: keeper}
+	fence, _ := term.Held()
 	b.Log.Info("Duty is held.", "duty", duty, "fence", fence)
 	b.holds.Store(true)
 	held, lose := context.WithCancel(ctx)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		b.work(held, keeper)
+		b.work(held, term)
 	}()
 	for ctx.Err() == nil {
-		if _, ok := keeper.Held(); !ok {
+		if now, ok := term.Held(); !ok || now != fence {
 			break
 		}
 		pause(ctx, renewPeriod)
@@ -110,14 +129,14 @@
 }
 
 // work balances all groups in turn.
-func (b *Balancer) work(ctx context.Context, lease chiverank.Lease) {
+func (b *Balancer) work(ctx context.Context, term *tenure) {
 	for ctx.Err() == nil {
 		fleet := b.Fleet()
 		found := gather(fleet)
 		for name, members := range found {
 			g := b.groups[name]
 			if g == nil {
-				g = newGroup(name, b, lease)
+				g = newGroup(name, b, term)
 				b.groups[name] = g
 			}
 			g.round(ctx, members)
--- a/internal/run/chivebalance/group.go
+++ b/internal/run/chivebalance/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sort"
 	"sync"
 	"time"
@@ -100,6 +101,7 @@
 type group struct {
 	name     string
 	balancer *Balancer
+	term     *tenure
 	switcher *chiverank.Switcher
 	smoother chivemap.Smoother
 
@@ -114,10 +116,24 @@
 	read map[int]chiverank.Counts
 }
 
-func newGroup(name string, b *Balancer, lease chiverank.Lease) *group {
+func newGroup(name string, b *Balancer, term *tenure) *group {
+	rounds := b.rounds[name]
+	if rounds == nil {
+		rounds = new(int64)
+		b.rounds[name] = rounds
+	}
 	return &group{
-		name: name, balancer: b, read: map[int]chiverank.Counts{},
-		switcher: &chiverank.Switcher{Ranks: b.Engine, Lease: lease, Log: b.Log, Group: name},
+		name: name, balancer: b, term: term, read: map[int]chiverank.Counts{},
+		switcher: &chiverank.Switcher{Ranks: b.Engine, Lease: term, Log: b.Log, Group: name, Rounds: rounds},
+	}
+}
+
+// fail notes an error of the group's ranks, which is to be learnt anew.
+func (g *group) fail(text string, err error) {
+	g.balancer.Log.Warn(text, "group", g.name, "error", err)
+	g.now = nil
+	if errors.Is(err, chiverank.ErrFenced) {
+		g.term.fenced.Store(true)
 	}
 }
 
@@ -156,7 +172,7 @@
 func (g *group) learn(ctx context.Context, f *formation) {
 	settled, reports, err := g.switcher.Recover(ctx, f.members)
 	if err != nil {
-		g.balancer.Log.Warn("Group cannot be settled.", "group", g.name, "error", err)
+		g.fail("Group cannot be settled.", err)
 		return
 	}
 	if !settled {
@@ -307,8 +323,7 @@
 	began := time.Now()
 	version, err := g.switcher.Switch(ctx, f.members, g.epoch, layout, copyTime)
 	if err != nil {
-		g.balancer.Log.Warn("Map was not changed.", "group", g.name, "error", err)
-		g.now = nil
+		g.fail("Map was not changed.", err)
 		return
 	}
 	g.now, g.version = next, version
--- a/internal/run/chiveentry/entry.go
+++ b/internal/run/chiveentry/entry.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -49,7 +50,13 @@
 	writeTimeout = 1500 * time.Millisecond
 	// lifetime is how long callers keep an answer of the directory; some keep it
 	// three times as long.
-	lifetime = 2 * time.Second
+	lifetime = time.Second
+	// listenTime is how long a process that is told to stop takes requests, until
+	// the last answers of the directory that name it have run out.
+	listenTime = 2900 * time.Millisecond
+	// storeAge is how old the last confirmation of the configuration may be at an
+	// entry VM that reaches the store.
+	storeAge = 2*configWait + 500*time.Millisecond
 	// freshPart is the part of the bound on taken keys within which a
 	// configuration must have been confirmed. The rest covers the way to the
 	// runner.
@@ -134,8 +141,8 @@
 	e.tracker = NewTracker(parts.Codec, e.log.WithPrefix("fleet"))
 	board := chiverelay.NewBoard(settings.Limits)
 	e.balancer = &chivebalance.Balancer{
-		Engine: parts.Engine, Table: parts.Leases, Name: fmt.Sprintf("%s/%x", settings.Entry.Name, settings.Entry.Boot),
-		Fleet: e.tracker.Fleet, Candidate: e.candidate, Log: e.log.WithPrefix("maps"),
+		Engine: parts.Engine, Table: parts.Leases, Name: process(settings.Entry, settings.Entry.Boot),
+		Fleet: e.tracker.Fleet, Candidate: e.candidate, Gone: e.gone, Log: e.log.WithPrefix("maps"),
 	}
 	e.mesh = &chivemesh.Mesh{
 		Self: settings.Entry, Fleet: e.tracker.Fleet, Busy: board.Own, Duty: e.balancer.Holds, Heard: board.Peer,
@@ -255,19 +262,41 @@
 }
 
 // candidate reports whether this entry VM should try to hold the duty to balance
-// expert maps: nobody alive holds it, and no peer with a smaller name could.
+// expert maps: it reaches the store, nobody alive holds the duty, and no peer
+// with a smaller name could.
 func (e *Entry) candidate() bool {
-	if e.leaving.Load() || e.tracker.Fleet().Config == nil {
+	now := chiveboot.Now()
+	if e.leaving.Load() || !e.tracker.Fleet().Fresh(now, storeAge) {
 		return false
 	}
 	for _, p := range e.mesh.Peers() {
-		if p.Duty || !p.Leaving && p.Entry.Name < e.settings.Entry.Name {
+		if p.Duty || !p.Leaving && p.Entry.Name < e.settings.Entry.Name && now.Sub(p.Confirmed) < storeAge {
 			return false
 		}
 	}
 	return true
 }
 
+// process names an incarnation of an entry VM's process.
+func process(e chivefleet.Entry, boot uint64) string {
+	return fmt.Sprintf("%s/%x", e.Name, boot)
+}
+
+// gone reports whether the process of a name has ended, as far as the entry VM
+// itself or its peers show.
+func (e *Entry) gone(name string) bool {
+	entry, _, _ := strings.Cut(name, "/")
+	if entry == e.settings.Entry.Name {
+		return name != process(e.settings.Entry, e.settings.Entry.Boot)
+	}
+	for _, p := range e.mesh.Peers() {
+		if p.Entry.Name == entry {
+			return name != process(p.Entry, p.Boot)
+		}
+	}
+	return false
+}
+
 // ready reports whether this entry VM serves.
 func (e *Entry) ready() bool {
 	f := e.fleet()
@@ -332,7 +361,7 @@
 	e.leaving.Store(true)
 	e.mesh.Leave()
 	e.relay.Leave()
-	listen := min(2*lifetime+lifetime/2, e.settings.Grace*2/3)
+	listen := min(listenTime, e.settings.Grace/2)
 	e.log.Info("Leaving.", "serving", listen)
 	time.Sleep(listen)
 	left := began.Add(e.settings.Grace - endMargin)
--- a/internal/run/chivemesh/mesh.go
+++ b/internal/run/chivemesh/mesh.go
@@ -43,8 +43,9 @@
 	Confirmed chiveboot.Moment
 	// Heard is when the last report arrived.
 	Heard chiveboot.Moment
+	// Boot is the incarnation of its process.
+	Boot uint64
 
-	boot   uint64
 	sent   chiveboot.Moment
 	alive  bool
 	remote *net.UDPAddr
@@ -228,16 +229,16 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	p := m.peers[r.From]
-	if p == nil || r.Boot == p.boot && r.Sent <= p.sent {
+	if p == nil || r.Boot == p.Boot && r.Sent <= p.sent {
 		return false
 	}
 	if !p.alive {
 		m.Log.Info("Peer reports.", "peer", r.From, "boot", r.Boot)
 	}
-	if r.Boot != p.boot {
+	if r.Boot != p.Boot {
 		p.Confirmed = 0
 	}
-	p.boot, p.sent, p.Heard, p.alive = r.Boot, r.Sent, now, true
+	p.Boot, p.sent, p.Heard, p.alive = r.Boot, r.Sent, now, true
 	p.Leaving, p.Duty = r.Leaving, r.Duty
 	// The echoed report was sent before the peer answered, so that the peer's
 	// confirmation is at least as new as this moment of the local clock, however
--- a/internal/state/chiverank/switcher.go
+++ b/internal/state/chiverank/switcher.go
@@ -40,8 +40,9 @@
 	Log   *log.Logger
 	// Group names the group.
 	Group string
-
-	rounds int64
+	// Rounds counts the tokens that were given under one fence. It must outlive
+	// the switcher where the same fence is held again.
+	Rounds *int64
 }
 
 // token returns a token above all earlier ones, or an error without the lease.
@@ -50,8 +51,8 @@
 	if !held {
 		return 0, Error.New("lease on group %s is not held", s.Group)
 	}
-	s.rounds++
-	return int64(fence)<<fenceShift | s.rounds, nil
+	*s.Rounds++
+	return int64(fence)<<fenceShift | *s.Rounds, nil
 }
 
 // Switch makes a map the one that all ranks use. Members are all ranks of the
