Limit requests at model runners by the pauses of their streams

Change: entry VMs measure pauses and set the number of requests at a runner from the floor and the slope of a pass; runners hold one request beyond it. The holder of the map duty reads every 150 ms and changes maps two passes ahead, since reports through scouts are fresh; a holder whose VM is silent is replaced without waiting for its lease.

--- a/internal/run/chivebalance/group.go
+++ b/internal/run/chivebalance/group.go
@@ -15,7 +15,7 @@
 
 const (
 	// roundPeriod is the time between two looks at the groups.
-	roundPeriod = 250 * time.Millisecond
+	roundPeriod = 150 * time.Millisecond
 	// readTimeout bounds one reading of a rank.
 	readTimeout = 400 * time.Millisecond
 	// minGain is the least part of the step time that a change must save.
--- a/internal/run/chiveentry/entry.go
+++ b/internal/run/chiveentry/entry.go
@@ -54,6 +54,9 @@
 	// listenTime is how long a process that is told to stop takes requests, until
 	// the last answers of the directory that name it have run out.
 	listenTime = 2900 * time.Millisecond
+	// settleTime is how long after its start an entry VM may not have heard of
+	// all its peers.
+	settleTime = 1500 * time.Millisecond
 	// storeAge is how old the last confirmation of the configuration may be at an
 	// entry VM that reaches the store.
 	storeAge = 2*configWait + 500*time.Millisecond
@@ -61,8 +64,8 @@
 	// configuration must have been confirmed. The rest covers the way to the
 	// runner.
 	freshPart = 0.92
-	// trimPeriod is the time between two looks at idle connections.
-	trimPeriod = 500 * time.Millisecond
+	// trimPeriod is the time between two looks at idle connections and limits.
+	trimPeriod = 200 * time.Millisecond
 	// endMargin is how long before the end of its grace a process ends by itself.
 	endMargin = 400 * time.Millisecond
 )
@@ -128,12 +131,13 @@
 	relay    *chiverelay.Relay
 	balancer *chivebalance.Balancer
 	leaving  atomic.Bool
+	started  chiveboot.Moment
 }
 
 // New returns a new Entry.
 func New(settings Settings, parts Parts) *Entry {
 	settings.Entry.Boot = rand.Uint64() | 1
-	e := &Entry{settings: settings, parts: parts, logs: chivelog.NewWriter(parts.Logs)}
+	e := &Entry{settings: settings, parts: parts, started: chiveboot.Now(), logs: chivelog.NewWriter(parts.Logs)}
 	e.log = log.NewWithOptions(e.logs, log.Options{
 		Prefix: settings.Entry.Name, Formatter: log.JSONFormatter, ReportTimestamp: true,
 		TimeFormat: "2006-01-02T15:04:05.000Z07:00",
@@ -266,7 +270,7 @@
 // with a smaller name could.
 func (e *Entry) candidate() bool {
 	now := chiveboot.Now()
-	if e.leaving.Load() || !e.tracker.Fleet().Fresh(now, storeAge) {
+	if e.leaving.Load() || chiveboot.Since(e.started) < settleTime || !e.tracker.Fleet().Fresh(now, storeAge) {
 		return false
 	}
 	for _, p := range e.mesh.Peers() {
@@ -282,8 +286,8 @@
 	return fmt.Sprintf("%s/%x", e.Name, boot)
 }
 
-// gone reports whether the process of a name has ended, as far as the entry VM
-// itself or its peers show.
+// gone reports whether the process of a name has ended or is silent, as far as
+// the entry VM itself or its peers show.
 func (e *Entry) gone(name string) bool {
 	entry, _, _ := strings.Cut(name, "/")
 	if entry == e.settings.Entry.Name {
@@ -294,7 +298,7 @@
 			return name != process(p.Entry, p.Boot)
 		}
 	}
-	return false
+	return chiveboot.Since(e.started) > settleTime
 }
 
 // ready reports whether this entry VM serves.
@@ -348,6 +352,7 @@
 			fleet := e.tracker.Fleet()
 			e.relay.Pool.Trim()
 			e.relay.Board.Trim(fleet)
+			e.relay.Board.StepPaces(fleet)
 			e.relay.Board.SetEntries(len(fleet.Entries))
 		}
 	}
--- a/internal/run/chiverelay/attempt.go
+++ b/internal/run/chiverelay/attempt.go
@@ -175,6 +175,7 @@
 		if e.ID >= 0 && e.ID <= x.last {
 			continue
 		}
+		x.notePause()
 		x.beginStream(resp)
 		_, err = x.w.Write(e.Text)
 		if err == nil && !events.Pending() {
@@ -188,6 +189,15 @@
 	}
 }
 
+// notePause notes the pause since the last event.
+func (x *exchange) notePause() {
+	now := chiveboot.Now()
+	if x.begun && x.route.Pause > 0 {
+		x.relay.Board.Pause(x.service.Name, now.Sub(x.event), x.route.Pause)
+	}
+	x.event = now
+}
+
 // beginStream sends the header before the first event. A stream that goes on at
 // another runner keeps the header of the first.
 func (x *exchange) beginStream(resp *http.Response) {
--- a/internal/run/chiverelay/board.go
+++ b/internal/run/chiverelay/board.go
@@ -1,10 +1,12 @@
 package chiverelay
 
 import (
+	"math"
 	"sync"
 	"time"
 
 	"github.com/chiveyoke/chiveyoke/internal/policy/chivechoice"
+	"github.com/chiveyoke/chiveyoke/internal/policy/chivepace"
 	"github.com/chiveyoke/chiveyoke/internal/policy/chivequota"
 	"github.com/chiveyoke/chiveyoke/internal/state/chiveboot"
 	"github.com/chiveyoke/chiveyoke/internal/state/chivefleet"
@@ -38,9 +40,17 @@
 	suspects map[string]chiveboot.Moment
 	cold     map[string]*chivequota.Cold
 	retries  map[string]*chivequota.Retries
+	paces    map[string]*pace
 	entries  int
 }
 
+// pace limits the requests at the model runners of a service.
+type pace struct {
+	chivepace.Pacer
+	// asked is the shortest pause that a route of the service asks.
+	asked time.Duration
+}
+
 // peerLoad is the number of requests that another entry VM has at each runner.
 type peerLoad struct {
 	at   chiveboot.Moment
@@ -51,7 +61,8 @@
 func NewBoard(limits Limits) *Board {
 	return &Board{
 		limits: limits, own: map[string]int{}, peers: map[string]peerLoad{}, suspects: map[string]chiveboot.Moment{},
-		cold: map[string]*chivequota.Cold{}, retries: map[string]*chivequota.Retries{}, entries: 1,
+		cold: map[string]*chivequota.Cold{}, retries: map[string]*chivequota.Retries{}, paces: map[string]*pace{},
+		entries: 1,
 	}
 }
 
@@ -110,6 +121,49 @@
 	return r
 }
 
+// Pause notes the pause between two events of a stream.
+func (b *Board) Pause(service string, pause, asked time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.pace(service)
+	p.Add(pause)
+	if p.asked == 0 || asked < p.asked {
+		p.asked = asked
+	}
+}
+
+func (b *Board) pace(service string) *pace {
+	p := b.paces[service]
+	if p == nil {
+		p = &pace{}
+		b.paces[service] = p
+	}
+	return p
+}
+
+// StepPaces ends an interval of all limits that pauses set.
+func (b *Board) StepPaces(fleet *chivefleet.Fleet) {
+	if fleet.Config == nil {
+		return
+	}
+	now := chiveboot.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for name, p := range b.paces {
+		s, runners := fleet.Config.Services[name], fleet.Usable(name)
+		if s == nil || s.Engine == nil || len(runners) == 0 {
+			continue
+		}
+		sum, slots := 0, 0
+		for _, r := range runners {
+			sum += min(b.busy(r.ID, now), r.Slots)
+			slots += r.Slots
+		}
+		n := len(runners)
+		p.Step(p.asked, s.Engine.Pass, float64(sum)/float64(n), slots/n)
+	}
+}
+
 // A Want is what a request asks of a runner.
 type Want struct {
 	Service *chivefleet.Service
@@ -127,11 +181,19 @@
 	now := chiveboot.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	var p *pace
+	if w.Service.Engine != nil {
+		p = b.pace(w.Service.Name)
+	}
 	list := make([]chivechoice.Candidate, 0, len(runners))
 	sound := make([]*chivefleet.Runner, 0, len(runners))
 	for _, r := range runners {
+		slots := r.Slots
+		if p != nil {
+			slots = int(math.Ceil(p.Limit(slots)))
+		}
 		list = append(list, chivechoice.Candidate{
-			Busy: b.busy(r.ID, now), Slots: r.Slots, Near: r.Zone == w.Zone,
+			Busy: b.busy(r.ID, now), Slots: slots, Near: r.Zone == w.Zone,
 			Suspect: now < b.suspects[r.ID], Tried: w.Tried[r.ID],
 		})
 		sound = append(sound, r)
--- a/internal/run/chiverelay/relay.go
+++ b/internal/run/chiverelay/relay.go
@@ -23,7 +23,7 @@
 	// engineQueue is the number of requests beyond its slots that a model runner
 	// may have, plainQueue that of a plain service. Their answers still begin
 	// within the goal of the usual routes.
-	engineQueue = 3
+	engineQueue = 1
 	plainQueue  = 6
 	// defaultDeadline is that of requests whose caller and route set none.
 	defaultDeadline = 30 * time.Second
@@ -105,6 +105,8 @@
 	// last event that it has.
 	begun bool
 	last  int64
+	// event is when the last event came.
+	event chiveboot.Moment
 	// held is a runner's own failure, for the caller if nothing better comes.
 	held *heldAnswer
 
--- a/internal/state/chivefleet/config.go
+++ b/internal/state/chivefleet/config.go
@@ -87,6 +87,8 @@
 	Experts int
 	// Places is the number of experts that a rank holds in each set.
 	Places int
+	// Pass is the time of a pass with next to nothing to do: all its forward steps.
+	Pass time.Duration
 	// Spare is the number of experts by which one map may differ from the last,
 	// for each rank and set.
 	Spare int
--- a/internal/state/chiverank/switcher.go
+++ b/internal/state/chiverank/switcher.go
@@ -11,18 +11,22 @@
 )
 
 const (
-	// orderTimeout bounds one try of an order: a few round trips between zones.
-	orderTimeout = 250 * time.Millisecond
+	// orderTimeout bounds the first try of an order, a few round trips between
+	// zones; it doubles with each try up to lastTimeout.
+	orderTimeout = 80 * time.Millisecond
+	lastTimeout  = 400 * time.Millisecond
+	// reportTimeout bounds the reading of a report.
+	reportTimeout = 250 * time.Millisecond
 	// orderPause is the pause between two tries of an order.
 	orderPause = 30 * time.Millisecond
 	// prepareTime bounds the copying of experts.
 	prepareTime = 8 * time.Second
 	// reportPause is the pause between two looks at ranks that copy.
-	reportPause = 150 * time.Millisecond
+	reportPause = 60 * time.Millisecond
 	// firstLead is the number of passes between the last reported and the one at
 	// which the map changes; it doubles while passes go by too fast.
-	firstLead = 8
-	leadTries = 4
+	firstLead = 2
+	leadTries = 5
 	// armTime is how long arms are tried before the change is undone.
 	armTime = 6 * time.Second
 	// fenceShift makes room for the rounds of one lease in a token.
@@ -205,7 +209,7 @@
 			continue
 		}
 		reading.Go(func() {
-			ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+			ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 			defer cancel()
 			r, err := s.Ranks.Report(ctx, m)
 			if err != nil {
@@ -238,11 +242,11 @@
 // persist sends an order to one rank until it is confirmed or refused.
 func (s *Switcher) persist(ctx context.Context, m Member, o Order, limit time.Duration) error {
 	until := time.Now().Add(limit)
-	for {
+	for wait := orderTimeout; ; wait = min(2*wait, lastTimeout) {
 		if fence, held := s.Lease.Held(); !held || int64(fence) != o.Token>>fenceShift {
 			return Error.New("lease on group %s has lapsed", s.Group)
 		}
-		each, cancel := context.WithTimeout(ctx, orderTimeout)
+		each, cancel := context.WithTimeout(ctx, wait)
 		err := s.Ranks.Order(each, m, o)
 		cancel()
 		if err == nil || errors.Is(err, ErrConflict) || errors.Is(err, ErrFenced) {
