--- a/internal/run/chivebalance/group.go
+++ b/internal/run/chivebalance/group.go
@@ -22,6 +22,10 @@
 	minGain = 0.12
 	// tolerance is how far above its bound the hottest rank may stay.
 	tolerance = 0.06
+	// maxNew is the number of experts of a layer that one change brings to a rank
+	// at most. Copying holds a change up, so that two small changes help sooner
+	// than a large one.
+	maxNew = 1
 	// oddReports is the number of reports in a row that may show a change in
 	// progress although there is none.
 	oddReports = 2
@@ -155,7 +159,7 @@
 		return
 	}
 	forecast := g.smoother.Add(loads)
-	planner := chivemap.Planner{Tolerance: tolerance, MaxNew: f.engine.Spare, Horizon: horizon, MoveCost: moveCost}
+	planner := chivemap.Planner{Tolerance: tolerance, MaxNew: min(maxNew, f.engine.Spare), Horizon: horizon, MoveCost: moveCost}
 	next := planner.Plan(g.now, forecast)
 	if next == nil {
 		return
