Move fewer experts, and only for a gain that is worth a change

Change: the hottest rank may stay a quarter above its bound, a change must save 15 in 100 of the step time; the time of a copy comes from the configuration; ranks that copy are asked every 25 ms.

--- a/internal/run/chivebalance/group.go
+++ b/internal/run/chivebalance/group.go
@@ -19,9 +19,9 @@
 	// readTimeout bounds one reading of a rank.
 	readTimeout = 400 * time.Millisecond
 	// minGain is the least part of the step time that a change must save.
-	minGain = 0.12
+	minGain = 0.15
 	// tolerance is how far above its bound the hottest rank may stay.
-	tolerance = 0.06
+	tolerance = 0.25
 	// maxNew is the number of experts of a layer that one change brings to a rank
 	// at most. Copying holds a change up, so that two small changes help sooner
 	// than a large one.
@@ -312,9 +312,6 @@
 	return some
 }
 
-// copyTime is how long one rank takes to copy an expert: 2.5 GB over 180 Gbit/s.
-const copyTime = 111 * time.Millisecond
-
 // change makes a map the one in use.
 func (g *group) change(ctx context.Context, f *formation, next *chivemap.Map, before, after float64) {
 	layout := make([][][]int, len(next.Layers))
@@ -325,7 +322,7 @@
 	}
 	moves := g.now.Moves(next)
 	began := time.Now()
-	version, err := g.switcher.Switch(ctx, f.members, g.epoch, layout, copyTime)
+	version, err := g.switcher.Switch(ctx, f.members, g.epoch, layout, f.engine.Copy)
 	if err != nil {
 		g.fail("Map was not changed.", err)
 		return
--- a/internal/state/chivefleet/config.go
+++ b/internal/state/chivefleet/config.go
@@ -89,6 +89,8 @@
 	Places int
 	// Pass is the time of a pass with next to nothing to do: all its forward steps.
 	Pass time.Duration
+	// Copy is how long a rank takes to copy one expert.
+	Copy time.Duration
 	// Spare is the number of experts by which one map may differ from the last,
 	// for each rank and set.
 	Spare int
--- a/internal/state/chiverank/switcher.go
+++ b/internal/state/chiverank/switcher.go
@@ -22,7 +22,7 @@
 	// prepareTime bounds the copying of experts.
 	prepareTime = 8 * time.Second
 	// reportPause is the pause between two looks at ranks that copy.
-	reportPause = 60 * time.Millisecond
+	reportPause = 25 * time.Millisecond
 	// firstLead is the number of passes between the last reported and the one at
 	// which the map changes; it doubles while passes go by too fast.
 	firstLead = 2
