Know restarted runners by their address, and refuse with a time that fits

Change: of runners at one address the one that started last counts; the address at fault is looked up; refused callers return after 0.8 to 1.2 s, or 1.7 to 2.6 s when the group has broken.

--- a/internal/run/chiverelay/attempt.go
+++ b/internal/run/chiverelay/attempt.go
@@ -103,8 +103,9 @@
 	answer := x.relay.Dialect.Answer(resp)
 	if answer.NotRun {
 		fault := runner.ID
-		if answer.Fault != "" {
-			fault = answer.Fault
+		if other := x.fleet.At(x.service.Name, answer.Fault); other != nil {
+			fault = other.ID
+			x.broken = other != runner
 		}
 		x.suspect(ctx, fault, fmt.Sprintf("runner %s refused with %d, runner %s at fault", runner.ID, resp.StatusCode, fault))
 		return failed
--- a/internal/run/chiverelay/dialect.go
+++ b/internal/run/chiverelay/dialect.go
@@ -42,7 +42,7 @@
 	Signed bool
 	// NotRun says that the runner did not and will not run the request.
 	NotRun bool
-	// Fault names the runner at fault, where the answer does.
+	// Fault is the address of the runner at fault, where the answer names one.
 	Fault string
 }
 
--- a/internal/run/chiverelay/relay.go
+++ b/internal/run/chiverelay/relay.go
@@ -27,9 +27,12 @@
 	plainQueue  = 6
 	// defaultDeadline is that of requests whose caller and route set none.
 	defaultDeadline = 30 * time.Second
-	// comeBack is when refused callers may return at the soonest; they are told
-	// up to twice that, so that they do not come back together.
-	comeBack = 400 * time.Millisecond
+	// comeBack is when refused callers may return at the soonest, formTime that
+	// after a group of ranks has broken: the ranks that are left notice it after
+	// 1.5 s and form anew. Callers are told up to half as much more, so that they
+	// do not come back together.
+	comeBack = 800 * time.Millisecond
+	formTime = 1700 * time.Millisecond
 	// minLeft is the least time for which a request is sent to a runner.
 	minLeft = 15 * time.Millisecond
 )
@@ -107,6 +110,8 @@
 	last  int64
 	// event is when the last event came.
 	event chiveboot.Moment
+	// broken says that a runner refused for the sake of another of its group.
+	broken bool
 	// held is a runner's own failure, for the caller if nothing better comes.
 	held *heldAnswer
 
@@ -324,7 +329,11 @@
 
 // refuse answers that the request has not run and tells when to come back.
 func (x *exchange) refuse(cause string) bool {
-	after := comeBack + time.Duration(rand.Int64N(int64(comeBack)))
+	after := comeBack
+	if x.broken {
+		after = formTime
+	}
+	after += time.Duration(rand.Int64N(int64(after / 2)))
 	x.relay.Dialect.Refuse(x.w.Header(), after)
 	x.answer(http.StatusServiceUnavailable, cause)
 	return false
--- a/internal/state/chivefleet/fleet.go
+++ b/internal/state/chivefleet/fleet.go
@@ -49,10 +49,17 @@
 	return list
 }
 
-// Group sorts runners into services.
+// Group sorts runners into services. Of runners at the same address only the one
+// that started last is there: the entries of earlier ones lapse some time later.
 func Group(runners map[string]*Runner) map[string][]*Runner {
-	services := map[string][]*Runner{}
+	newest := map[string]*Runner{}
 	for _, r := range runners {
+		if o := newest[r.Address]; o == nil || r.Born > o.Born || r.Born == o.Born && r.ID > o.ID {
+			newest[r.Address] = r
+		}
+	}
+	services := map[string][]*Runner{}
+	for _, r := range newest {
 		services[r.Service] = append(services[r.Service], r)
 	}
 	for _, list := range services {
@@ -60,3 +67,13 @@
 	}
 	return services
 }
+
+// At returns the runner of a service at an address, or nil.
+func (f *Fleet) At(service, addr string) *Runner {
+	for _, r := range f.Runners[service] {
+		if r.Address == addr {
+			return r
+		}
+	}
+	return nil
+}
--- a/internal/state/chiverank/rank.go
+++ b/internal/state/chiverank/rank.go
@@ -37,6 +37,13 @@
 	Go
 )
 
+var opNames = [...]string{Prepare: "prepare", Arm: "arm", Disarm: "disarm", Hold: "hold", Go: "go"}
+
+// String returns the name of the order in logs.
+func (o Op) String() string {
+	return opNames[o]
+}
+
 // An Order is one order to a rank. A rank refuses orders with a token below the
 // highest that it has seen, and those for another epoch of its group.
 type Order struct {
--- a/internal/state/chiverank/switcher.go
+++ b/internal/state/chiverank/switcher.go
@@ -14,7 +14,7 @@
 	// orderTimeout bounds the first try of an order, a few round trips between
 	// zones; it doubles with each try up to lastTimeout.
 	orderTimeout = 80 * time.Millisecond
-	lastTimeout  = 400 * time.Millisecond
+	lastTimeout  = 320 * time.Millisecond
 	// reportTimeout bounds the reading of a report.
 	reportTimeout = 250 * time.Millisecond
 	// orderPause is the pause between two tries of an order.
@@ -255,6 +255,9 @@
 		if ctx.Err() != nil || time.Now().After(until) {
 			return err
 		}
+		if wait == lastTimeout {
+			s.Log.Warn("Order is not answered.", "group", s.Group, "rank", m.Rank, "order", o.Op, "token", o.Token, "error", err)
+		}
 		if err := sleep(ctx, orderPause); err != nil {
 			return err
 		}
