Read counts from ranks of the holder's zone only

Cause: at 72 ranks with 12 layers of 144 experts the counts of all ranks would be 2.9 MB/s at the holder. Change: up to 12 ranks of the holder's zone are read; all ranks choose alike.

--- a/internal/run/chivebalance/balancer.go
+++ b/internal/run/chivebalance/balancer.go
@@ -35,6 +35,8 @@
 	Table  chiverow.Table
 	// Name is that of this entry VM with its incarnation.
 	Name string
+	// Zone is that of this entry VM.
+	Zone string
 	// Fleet returns the newest view of the fleet.
 	Fleet func() *chivefleet.Fleet
 	// Candidate reports whether this entry VM should try to hold the lease: no
--- a/internal/run/chivebalance/group.go
+++ b/internal/run/chivebalance/group.go
@@ -18,6 +18,9 @@
 	roundPeriod = 150 * time.Millisecond
 	// readTimeout bounds one reading of a rank.
 	readTimeout = 400 * time.Millisecond
+	// minSamples and maxSamples bound the ranks whose counts are read.
+	minSamples = 4
+	maxSamples = 12
 	// minGain is the least part of the step time that a change must save.
 	minGain = 0.15
 	// tolerance is how far above its bound the hottest rank may stay.
@@ -46,6 +49,8 @@
 	size    int
 	engine  *chivefleet.Engine
 	members []chiverank.Member
+	// zones holds the zone of each rank.
+	zones map[int]string
 	// complete says that every rank is known, once, and the group is open.
 	complete bool
 }
@@ -67,7 +72,7 @@
 			}
 			f := found[r.Group.Name]
 			if f == nil {
-				f = &formation{engine: s.Engine, epoch: r.Group.Epoch, complete: true}
+				f = &formation{engine: s.Engine, epoch: r.Group.Epoch, zones: map[int]string{}, complete: true}
 				found[r.Group.Name] = f
 			}
 			f.add(r)
@@ -85,6 +90,7 @@
 		f.complete = false
 	}
 	f.size = r.Group.Size
+	f.zones[r.Group.Rank] = r.Zone
 	f.members = append(f.members, chiverank.Member{ID: r.ID, Address: r.Address, Rank: r.Group.Rank})
 }
 
@@ -101,6 +107,21 @@
 	}
 }
 
+// near returns the members whose counts are read: up to maxSamples of a zone, or
+// of all zones where it has fewer than minSamples.
+func (f *formation) near(zone string) []chiverank.Member {
+	var list []chiverank.Member
+	for _, m := range f.members {
+		if f.zones[m.Rank] == zone {
+			list = append(list, m)
+		}
+	}
+	if len(list) < minSamples {
+		list = f.members
+	}
+	return list[:min(maxSamples, len(list))]
+}
+
 // group is what the holder of the duty knows of one group.
 type group struct {
 	name     string
@@ -255,21 +276,28 @@
 	return false
 }
 
-// sample reads the counts of all ranks and returns what was chosen since their
-// last reading, or nil.
+// sample reads the counts of some ranks and returns what was chosen since their
+// last reading, or nil. All ranks choose alike, since requests are spread over
+// them; ranks of the same zone cost no traffic between zones.
 func (g *group) sample(ctx context.Context, f *formation) chivemap.Loads {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	read := make([]*chiverank.Counts, len(f.members))
-	var reading sync.WaitGroup
-	for i, m := range f.members {
+	chosen := f.near(g.balancer.Zone)
+	read := make(map[int]*chiverank.Counts, len(chosen))
+	var (
+		reading sync.WaitGroup
+		mu      sync.Mutex
+	)
+	for _, m := range chosen {
 		reading.Go(func() {
 			counts, err := g.balancer.Engine.Counts(ctx, m)
 			if err != nil {
 				g.balancer.Log.Debug("Counts cannot be read.", "group", g.name, "rank", m.Rank, "error", err)
 				return
 			}
-			read[i] = &counts
+			mu.Lock()
+			defer mu.Unlock()
+			read[m.Rank] = &counts
 		})
 	}
 	reading.Wait()
@@ -277,7 +305,7 @@
 	sum := make([]float64, e.Sets*e.Experts)
 	found := false
 	for i, counts := range read {
-		if counts == nil || len(counts.Chosen) != len(sum) {
+		if len(counts.Chosen) != len(sum) {
 			continue
 		}
 		before, ok := g.read[i]
--- a/internal/run/chiveentry/entry.go
+++ b/internal/run/chiveentry/entry.go
@@ -146,7 +146,7 @@
 	board := chiverelay.NewBoard(settings.Limits)
 	e.balancer = &chivebalance.Balancer{
 		Engine: parts.Engine, Table: parts.Leases, Name: process(settings.Entry, settings.Entry.Boot),
-		Fleet: e.tracker.Fleet, Candidate: e.candidate, Gone: e.gone, Log: e.log.WithPrefix("maps"),
+		Zone: settings.Entry.Zone, Fleet: e.tracker.Fleet, Candidate: e.candidate, Gone: e.gone, Log: e.log.WithPrefix("maps"),
 	}
 	e.mesh = &chivemesh.Mesh{
 		Self: settings.Entry, Fleet: e.tracker.Fleet, Busy: board.Own, Duty: e.balancer.Holds, Heard: board.Peer,
