Confirm configurations for each other, and spare slow ranks

Change: three entry VMs confirm the configuration every 0.7 s and lend that to the others, which wait 15 s and ask the store themselves when nobody lends; changes of runners gather for 0.3 s; where a cold runner's rate is too small to be shared, the first entry VMs by rendezvous send alone; the holder reads the paces of ranks, plans with them, and entry VMs send a slow rank fewer requests; holds and gos go to the rank itself.

--- a/internal/peer/chivescout/client.go
+++ b/internal/peer/chivescout/client.go
@@ -50,8 +50,13 @@
 	}}}
 }
 
-// Order implements chiverank.Ranks.Order.
+// Order implements chiverank.Ranks.Order. The orders that hold a group and let it
+// go do not depend on a second VM: while a group is held, the loss of the VM
+// beside its rank would keep it so.
 func (c *Client) Order(ctx context.Context, m chiverank.Member, o chiverank.Order) error {
+	if o.Op == chiverank.Hold || o.Op == chiverank.Go {
+		return c.Direct.Order(ctx, m, o)
+	}
 	r, ok, err := c.call(ctx, m, pathOrder, Query{Order: &o})
 	if !ok {
 		return c.Direct.Order(ctx, m, o)
--- a/internal/policy/chivemap/planner.go
+++ b/internal/policy/chivemap/planner.go
@@ -12,6 +12,9 @@
 	// MaxNew bounds the experts of one layer that one plan brings to a rank; 0
 	// sets no bound.
 	MaxNew int
+	// Paces holds how much slower than others each rank is; nil means that all
+	// are alike.
+	Paces []float64
 	// MoveCost is what one changed slot costs, in steps that it delays; 0 means
 	// 0.02.
 	MoveCost float64
@@ -65,7 +68,8 @@
 	if s.total == 0 {
 		return nil
 	}
-	target := Bound(now.Ranks, now.Slots, loads) * (1 + or(p.Tolerance, defaultTolerance))
+	s.paces = p.Paces
+	target := p.bound(now, loads) * (1 + or(p.Tolerance, defaultTolerance))
 	before := s.most()
 	moves := s.improve(target, p.MaxMoves)
 	if moves == 0 {
@@ -79,6 +83,42 @@
 	return s.layer
 }
 
+// bound returns the least time of the slowest rank that a map can reach, about.
+func (p Planner) bound(now *Map, loads []float64) float64 {
+	least := Bound(now.Ranks, now.Slots, loads)
+	if p.Paces == nil {
+		return least
+	}
+	var sum, speed float64
+	for _, l := range loads {
+		sum += l
+	}
+	for _, pace := range p.Paces {
+		speed += 1 / max(1, pace)
+	}
+	return max(least, sum/speed)
+}
+
+// Skew returns the step time of a map in relation to that of a map in balance on
+// ranks of equal pace, as the mean over all layers.
+func (p Planner) Skew(m *Map, loads Loads) float64 {
+	if p.Paces == nil {
+		return m.StepSkew(loads)
+	}
+	var mean float64
+	for i, layer := range m.Layers {
+		var sum, most float64
+		for k, l := range rankLoads(layer, m.Ranks, m.Slots, loads[i]) {
+			sum += l
+			most = max(most, l*p.Paces[k])
+		}
+		if sum > 0 {
+			mean += most * float64(m.Ranks) / sum / float64(len(m.Layers))
+		}
+	}
+	return mean
+}
+
 func or(v, standard float64) float64 {
 	if v == 0 {
 		return standard
@@ -95,6 +135,8 @@
 	sums         []float64
 	total        float64
 	target       float64
+	// paces holds how much slower than others each rank is, or is nil.
+	paces []float64
 	// before is the layer that the search began with.
 	before []uint16
 	// maxNew bounds the experts that a rank gets, fresh counts them.
@@ -127,13 +169,22 @@
 }
 
 func (s *search) most() float64 {
-	return s.sums[s.hottest()]
+	hot := s.hottest()
+	return s.time(hot, s.sums[hot])
+}
+
+// time returns how long a rank takes for a load.
+func (s *search) time(rank int, load float64) float64 {
+	if s.paces == nil {
+		return load
+	}
+	return load * s.paces[rank]
 }
 
 func (s *search) hottest() int {
 	hot := 0
 	for k, l := range s.sums {
-		if l > s.sums[hot] {
+		if s.time(k, l) > s.time(hot, s.sums[hot]) {
 			hot = k
 		}
 	}
@@ -155,7 +206,7 @@
 	moves := 0
 	for maxMoves == 0 || moves < maxMoves {
 		hot := s.hottest()
-		if s.sums[hot] <= target {
+		if s.time(hot, s.sums[hot]) <= target {
 			break
 		}
 		c := s.best(hot)
@@ -237,7 +288,7 @@
 func (s *search) coolest() []int {
 	s.cool = s.cool[:0]
 	for k, l := range s.sums {
-		s.cool = insert(s.cool, k, coolRanks, func(o int) bool { return l < s.sums[o] })
+		s.cool = insert(s.cool, k, coolRanks, func(o int) bool { return s.time(k, l) < s.time(o, s.sums[o]) })
 	}
 	return s.cool
 }
@@ -272,8 +323,8 @@
 
 // penalty weighs the load of one rank: the square of what is above the target.
 // Ranks below it weigh nothing, since the hottest rank alone decides the step.
-func (s *search) penalty(load float64) float64 {
-	above := max(0, load-s.target)
+func (s *search) penalty(rank int, load float64) float64 {
+	above := max(0, s.time(rank, load)-s.target)
 	return above * above
 }
 
@@ -289,7 +340,7 @@
 	if d <= 0 {
 		return 0
 	}
-	return s.penalty(s.sums[i]) + s.penalty(s.sums[j]) - s.penalty(s.sums[i]-d) - s.penalty(s.sums[j]+d)
+	return s.penalty(i, s.sums[i]) + s.penalty(j, s.sums[j]) - s.penalty(i, s.sums[i]-d) - s.penalty(j, s.sums[j]+d)
 }
 
 // copyGain returns by how much the penalty falls where the expert of a hot slot
@@ -302,14 +353,16 @@
 	newA := s.loads[a] / float64(s.counts[a]+1)
 	var gain float64
 	for _, slot := range s.where[a] {
-		l := s.sums[slot/s.slots]
-		gain += s.penalty(l) - s.penalty(l-s.each(a)+newA)
+		rank := slot / s.slots
+		l := s.sums[rank]
+		gain += s.penalty(rank, l) - s.penalty(rank, l-s.each(a)+newA)
 	}
 	if b != Empty {
 		gain -= s.lossOf(b, c.to)
 	}
-	l := s.sums[c.to/s.slots]
-	return gain + s.penalty(l) - s.penalty(l-s.each(b)+newA)
+	rank := c.to / s.slots
+	l := s.sums[rank]
+	return gain + s.penalty(rank, l) - s.penalty(rank, l-s.each(b)+newA)
 }
 
 // lossOf returns by how much the penalty grows on the other ranks that hold an
@@ -321,8 +374,9 @@
 		if slot == leaves {
 			continue
 		}
-		l := s.sums[slot/s.slots]
-		loss += s.penalty(l-s.each(e)+more) - s.penalty(l)
+		rank := slot / s.slots
+		l := s.sums[rank]
+		loss += s.penalty(rank, l-s.each(e)+more) - s.penalty(rank, l)
 	}
 	return loss
 }
--- a/internal/policy/chivequota/cold.go
+++ b/internal/policy/chivequota/cold.go
@@ -9,13 +9,27 @@
 }
 
 // Take counts a request to the cold runner where the rate allows it. Entries is
-// the number of entry VMs that share the rate. Each may send one a second at
-// least, so that every entry VM can serve.
-func (c *Cold) Take(now time.Duration, rate float64, entries int) bool {
+// the number of entry VMs that share the rate, and place that of this one among
+// them, from 0, in an order that all know and that differs from runner to runner.
+// Where a fair part would be less than a request a second, only the first entry
+// VMs send any.
+func (c *Cold) Take(now time.Duration, rate float64, entries, place int) bool {
 	c.sent.Span = time.Second
-	if c.sent.Sum(now)+1 > max(1, safety*rate/float64(max(1, entries))) {
+	allowed := safety * rate
+	each := allowed / float64(max(1, entries))
+	if each < leastEach {
+		each = leastEach
+		if float64(place+1)*each > allowed && place > 0 {
+			return false
+		}
+	}
+	if c.sent.Sum(now)+1 > each {
 		return false
 	}
 	c.sent.Add(now, 1)
 	return true
 }
+
+// leastEach is the least number of requests a second that an entry VM sends to a
+// cold runner, where it sends any.
+const leastEach = 2
--- a/internal/run/chivebalance/balancer.go
+++ b/internal/run/chivebalance/balancer.go
@@ -44,6 +44,8 @@
 	Candidate func() bool
 	// Gone reports whether the process of a name has ended.
 	Gone func(name string) bool
+	// Slow takes the runners of a group that are slow, with their paces.
+	Slow func(group string, paces map[string]float64)
 	Log  *log.Logger
 
 	holds  atomic.Bool
--- a/internal/run/chivebalance/group.go
+++ b/internal/run/chivebalance/group.go
@@ -18,6 +18,13 @@
 	roundPeriod = 150 * time.Millisecond
 	// readTimeout bounds one reading of a rank.
 	readTimeout = 400 * time.Millisecond
+	// quietRounds is the number of rounds after which the ranks of one zone are
+	// taken to serve nothing.
+	quietRounds = 3
+	// surveyed is the number of ranks whose reports are read in a round.
+	surveyed = 6
+	// slowPace is the pace from which a rank counts as slow.
+	slowPace = 1.3
 	// minSamples and maxSamples bound the ranks whose counts are read.
 	minSamples = 4
 	maxSamples = 12
@@ -51,8 +58,9 @@
 	members []chiverank.Member
 	// zones holds the zone of each rank.
 	zones map[int]string
-	// complete says that every rank is known, once, and the group is open.
-	complete bool
+	// lacks says why not every rank is known, once, in one epoch of an open
+	// group; it is empty where all are.
+	lacks string
 }
 
 // gather finds the groups of a fleet.
@@ -72,7 +80,7 @@
 			}
 			f := found[r.Group.Name]
 			if f == nil {
-				f = &formation{engine: s.Engine, epoch: r.Group.Epoch, zones: map[int]string{}, complete: true}
+				f = &formation{engine: s.Engine, epoch: r.Group.Epoch, zones: map[int]string{}}
 				found[r.Group.Name] = f
 			}
 			f.add(r)
@@ -86,8 +94,11 @@
 
 // add takes a member in.
 func (f *formation) add(r *chivefleet.Runner) {
-	if r.Group.Epoch != f.epoch || !r.Group.Open {
-		f.complete = false
+	switch {
+	case r.Group.Epoch != f.epoch:
+		f.lacks = "ranks are of different epochs"
+	case !r.Group.Open:
+		f.lacks = "the group is not open"
 	}
 	f.size = r.Group.Size
 	f.zones[r.Group.Rank] = r.Zone
@@ -98,26 +109,30 @@
 func (f *formation) finish() {
 	sort.Slice(f.members, func(i, j int) bool { return f.members[i].Rank < f.members[j].Rank })
 	if len(f.members) != f.size {
-		f.complete = false
+		f.lacks = "ranks are not known"
+		return
 	}
 	for i, m := range f.members {
 		if m.Rank != i {
-			f.complete = false
+			f.lacks = "ranks are there twice"
 		}
 	}
 }
 
 // near returns the members whose counts are read: up to maxSamples of a zone, or
-// of all zones where it has fewer than minSamples.
-func (f *formation) near(zone string) []chiverank.Member {
+// of all zones where that has fewer than minSamples or its ranks serve nothing.
+func (f *formation) near(zone string, wide bool) []chiverank.Member {
 	var list []chiverank.Member
 	for _, m := range f.members {
 		if f.zones[m.Rank] == zone {
 			list = append(list, m)
 		}
 	}
-	if len(list) < minSamples {
-		list = f.members
+	if wide || len(list) < minSamples {
+		list = nil
+		for i := range min(maxSamples, len(f.members)) {
+			list = append(list, f.members[i*len(f.members)/min(maxSamples, len(f.members))])
+		}
 	}
 	return list[:min(maxSamples, len(list))]
 }
@@ -135,8 +150,17 @@
 	now   *chivemap.Map
 	// version is that of the map.
 	version int64
+	// quiet counts the rounds in a row in which no rank that was read had chosen
+	// anything; once it has reached quietRounds, ranks of all zones are read.
+	quiet int
+	// lacks is why the group was not complete when last looked at.
+	lacks string
 	// odd counts the reports in a row that show a change in progress.
 	odd int
+	// paces holds how much slower than others each rank is; next is the rank
+	// that was asked last.
+	paces map[int]float64
+	next  int
 	// read holds the last counts of each rank.
 	read map[int]chiverank.Counts
 }
@@ -148,7 +172,7 @@
 		b.rounds[name] = rounds
 	}
 	return &group{
-		name: name, balancer: b, term: term, read: map[int]chiverank.Counts{},
+		name: name, balancer: b, term: term, paces: map[int]float64{}, read: map[int]chiverank.Counts{},
 		switcher: &chiverank.Switcher{Ranks: b.Engine, Lease: term, Log: b.Log, Group: name, Rounds: rounds},
 	}
 }
@@ -164,10 +188,14 @@
 
 // round looks at the group once and changes its map where that pays.
 func (g *group) round(ctx context.Context, f *formation) {
-	if !f.complete {
-		g.now = nil
+	if f.lacks != "" {
+		if g.lacks != f.lacks {
+			g.balancer.Log.Info("Group is not complete.", "group", g.name, "epoch", f.epoch, "known", len(f.members), "size", f.size, "why", f.lacks)
+		}
+		g.now, g.lacks = nil, f.lacks
 		return
 	}
+	g.lacks = ""
 	if g.now == nil || g.epoch != f.epoch {
 		g.learn(ctx, f)
 		return
@@ -175,17 +203,21 @@
 	if !g.watch(ctx, f) {
 		return
 	}
+	g.survey(ctx, f)
 	loads := g.sample(ctx, f)
 	if loads == nil {
 		return
 	}
 	forecast := g.smoother.Add(loads)
-	planner := chivemap.Planner{Tolerance: tolerance, MaxNew: min(maxNew, f.engine.Spare), Horizon: horizon, MoveCost: moveCost}
+	planner := chivemap.Planner{
+		Tolerance: tolerance, MaxNew: min(maxNew, f.engine.Spare), Horizon: horizon, MoveCost: moveCost,
+		Paces: g.slowness(len(f.members)),
+	}
 	next := planner.Plan(g.now, forecast)
 	if next == nil {
 		return
 	}
-	before, after := g.now.StepSkew(forecast), next.StepSkew(forecast)
+	before, after := planner.Skew(g.now, forecast), planner.Skew(next, forecast)
 	if after > before*(1-minGain) {
 		return
 	}
@@ -222,6 +254,8 @@
 		return
 	}
 	g.now, g.epoch, g.version, g.odd = m, reports[0].Epoch, reports[0].Map, 0
+	g.paces = map[int]float64{}
+	g.quiet = 0
 	g.read, g.smoother = map[int]chiverank.Counts{}, chivemap.Smoother{}
 	g.balancer.Log.Info("Map of the group is known.", "group", g.name, "epoch", g.epoch, "version", reports[0].Map)
 }
@@ -248,6 +282,55 @@
 	return true
 }
 
+// slowness returns the paces of all ranks, or nil where none is slow.
+func (g *group) slowness(ranks int) []float64 {
+	slow := false
+	list := make([]float64, ranks)
+	for k := range list {
+		list[k] = max(1, g.paces[k])
+		slow = slow || list[k] >= slowPace
+	}
+	if !slow {
+		return nil
+	}
+	return list
+}
+
+// survey reads the reports of a few ranks, other ones each time, for their paces.
+func (g *group) survey(ctx context.Context, f *formation) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	var (
+		reading sync.WaitGroup
+		mu      sync.Mutex
+	)
+	for range min(surveyed, len(f.members)) {
+		g.next = (g.next + 1) % len(f.members)
+		m := f.members[g.next]
+		reading.Go(func() {
+			r, err := g.balancer.Engine.Report(ctx, m)
+			if err != nil {
+				g.balancer.Log.Debug("Rank does not report.", "group", g.name, "rank", m.Rank, "error", err)
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if was := g.paces[m.Rank]; r.Pace >= slowPace != (was >= slowPace) {
+				g.balancer.Log.Info("Pace of a rank has changed.", "group", g.name, "rank", m.Rank, "runner", m.ID, "pace", r.Pace)
+			}
+			g.paces[m.Rank] = r.Pace
+		})
+	}
+	reading.Wait()
+	slow := map[string]float64{}
+	for _, m := range f.members {
+		if g.paces[m.Rank] >= slowPace {
+			slow[m.ID] = g.paces[m.Rank]
+		}
+	}
+	g.balancer.Slow(g.name, slow)
+}
+
 // watch looks for a hold that an order of an earlier holder left late.
 func (g *group) watch(ctx context.Context, f *formation) bool {
 	each, cancel := context.WithTimeout(ctx, readTimeout)
@@ -282,7 +365,7 @@
 func (g *group) sample(ctx context.Context, f *formation) chivemap.Loads {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	chosen := f.near(g.balancer.Zone)
+	chosen := f.near(g.balancer.Zone, g.quiet >= quietRounds)
 	read := make(map[int]*chiverank.Counts, len(chosen))
 	var (
 		reading sync.WaitGroup
@@ -315,8 +398,12 @@
 		}
 	}
 	if !found {
+		g.quiet++
 		return nil
 	}
+	if g.quiet < quietRounds {
+		g.quiet = 0
+	}
 	loads := make(chivemap.Loads, e.Sets)
 	for l := range loads {
 		loads[l] = sum[l*e.Experts : (l+1)*e.Experts]
--- a/internal/run/chiveentry/entry.go
+++ b/internal/run/chiveentry/entry.go
@@ -7,9 +7,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -42,8 +44,15 @@
 	idleTimeout = 60 * time.Second
 	// configWait and runnerWait are how long one call to the store waits for a
 	// change. The first bounds the age of what is known of keys.
-	configWait = 1500 * time.Millisecond
+	configWait = 700 * time.Millisecond
 	runnerWait = 15 * time.Second
+	// runnerPause and entryPause let changes gather, so that one call brings
+	// many.
+	runnerPause = 300 * time.Millisecond
+	entryPause  = 700 * time.Millisecond
+	// confirmers is the number of entry VMs that confirm the configuration for
+	// all.
+	confirmers = 3
 	// retryPause is the pause between two tries to write to the store.
 	retryPause = 300 * time.Millisecond
 	// writeTimeout bounds one write to the store.
@@ -59,7 +68,7 @@
 	settleTime = 1500 * time.Millisecond
 	// storeAge is how old the last confirmation of the configuration may be at an
 	// entry VM that reaches the store.
-	storeAge = 2*configWait + 500*time.Millisecond
+	storeAge = 3 * time.Second
 	// freshPart is the part of the bound on taken keys within which a
 	// configuration must have been confirmed. The rest covers the way to the
 	// runner.
@@ -131,25 +140,34 @@
 	relay    *chiverelay.Relay
 	balancer *chivebalance.Balancer
 	leaving  atomic.Bool
-	started  chiveboot.Moment
+	// hurry ends a call for the operators' table; waits says that it is a long
+	// one.
+	hurry   chan struct{}
+	waits   atomic.Bool
+	started chiveboot.Moment
 }
 
 // New returns a new Entry.
 func New(settings Settings, parts Parts) *Entry {
 	settings.Entry.Boot = rand.Uint64() | 1
-	e := &Entry{settings: settings, parts: parts, started: chiveboot.Now(), logs: chivelog.NewWriter(parts.Logs)}
+	e := &Entry{settings: settings, parts: parts, started: chiveboot.Now(), hurry: make(chan struct{}), logs: chivelog.NewWriter(parts.Logs)}
 	e.log = log.NewWithOptions(e.logs, log.Options{
 		Prefix: settings.Entry.Name, Formatter: log.JSONFormatter, ReportTimestamp: true,
 		TimeFormat: "2006-01-02T15:04:05.000Z07:00",
 	})
 	e.tracker = NewTracker(parts.Codec, e.log.WithPrefix("fleet"))
-	board := chiverelay.NewBoard(settings.Limits)
+	board := chiverelay.NewBoard(settings.Entry.Name, settings.Limits)
 	e.balancer = &chivebalance.Balancer{
 		Engine: parts.Engine, Table: parts.Leases, Name: process(settings.Entry, settings.Entry.Boot),
-		Zone: settings.Entry.Zone, Fleet: e.tracker.Fleet, Candidate: e.candidate, Gone: e.gone, Log: e.log.WithPrefix("maps"),
+		Zone: settings.Entry.Zone, Fleet: e.tracker.Fleet, Candidate: e.candidate, Gone: e.gone,
+		Slow: func(group string, paces map[string]float64) { board.Slow(chiverelay.OwnSource(group), paces) }, Log: e.log.WithPrefix("maps"),
 	}
 	e.mesh = &chivemesh.Mesh{
-		Self: settings.Entry, Fleet: e.tracker.Fleet, Busy: board.Own, Duty: e.balancer.Holds, Heard: board.Peer,
+		Self: settings.Entry, Fleet: e.tracker.Fleet, Busy: board.Own, Duty: e.balancer.Holds, Slow: board.OwnSlow,
+		Heard: func(r *chivemesh.Report) {
+			board.Peer(r.From, r.Busy)
+			board.Slow(r.From, r.Slow)
+		},
 		Log: e.log.WithPrefix("mesh"),
 	}
 	e.relay = &chiverelay.Relay{
@@ -167,7 +185,7 @@
 // fleet returns the newest view, with what peers know of its configuration.
 func (e *Entry) fleet() *chivefleet.Fleet {
 	f := e.tracker.Fleet()
-	if f.Config == nil || f.Fresh(chiveboot.Now(), e.maxAge()/2) {
+	if f.Config == nil || f.Fresh(chiveboot.Now(), configWait) {
 		return f
 	}
 	lent := f.Confirmed
@@ -252,16 +270,58 @@
 // followers returns those of the store's tables.
 func (e *Entry) followers() []*chivefollow.Follower {
 	t := e.settings.Tables
-	make1 := func(table string, wait time.Duration, into chan chivefollow.Table) *chivefollow.Follower {
+	follow := func(table string, into chan chivefollow.Table) *chivefollow.Follower {
 		return &chivefollow.Follower{
-			Source: e.parts.Store, Table: table, Wait: wait, Log: e.log.WithPrefix("store"),
+			Source: e.parts.Store, Table: table, Log: e.log.WithPrefix("store"),
+			Wait:    func() time.Duration { return runnerWait },
 			Changed: func(t chivefollow.Table) { into <- t },
 		}
 	}
-	return []*chivefollow.Follower{
-		make1(t.Operators, configWait, e.tracker.operators),
-		make1(t.Runners, runnerWait, e.tracker.servers),
-		make1(t.Own, runnerWait, e.tracker.entries),
+	operators, runners, own := follow(t.Operators, e.tracker.operators), follow(t.Runners, e.tracker.servers), follow(t.Own, e.tracker.entries)
+	operators.Wait, operators.Hurry = e.operatorsWait, e.hurry
+	runners.Pause, own.Pause = runnerPause, entryPause
+	return []*chivefollow.Follower{operators, runners, own}
+}
+
+// operatorsWait returns how long a call for the operators' table waits. A few
+// entry VMs confirm the configuration every configWait; the others take it from
+// them and wait longer.
+func (e *Entry) operatorsWait() time.Duration {
+	short := e.confirms() || chiveboot.Since(e.fleet().Confirmed) > e.lentAge()
+	e.waits.Store(!short)
+	if short {
+		return configWait
+	}
+	return runnerWait
+}
+
+// lentAge is how old what peers lend may be before an entry VM asks the store
+// itself.
+func (e *Entry) lentAge() time.Duration {
+	return e.maxAge() / 2
+}
+
+// confirms reports whether this entry VM is one of the few that confirm the
+// configuration for all.
+func (e *Entry) confirms() bool {
+	before := 0
+	for _, p := range e.mesh.Peers() {
+		if !p.Leaving && p.Entry.Name < e.settings.Entry.Name {
+			before++
+		}
+	}
+	return before < confirmers
+}
+
+// hasten ends a long call for the operators' table when peers no longer lend
+// their confirmations.
+func (e *Entry) hasten() {
+	if !e.waits.Load() || chiveboot.Since(e.fleet().Confirmed) < e.lentAge() {
+		return
+	}
+	select {
+	case e.hurry <- struct{}{}:
+	default:
 	}
 }
 
@@ -270,7 +330,7 @@
 // with a smaller name could.
 func (e *Entry) candidate() bool {
 	now := chiveboot.Now()
-	if e.leaving.Load() || chiveboot.Since(e.started) < settleTime || !e.tracker.Fleet().Fresh(now, storeAge) {
+	if e.leaving.Load() || chiveboot.Since(e.started) < settleTime || !e.fleet().Fresh(now, storeAge) {
 		return false
 	}
 	for _, p := range e.mesh.Peers() {
@@ -350,10 +410,11 @@
 			return nil
 		case <-tick.C:
 			fleet := e.tracker.Fleet()
+			e.hasten()
 			e.relay.Pool.Trim()
 			e.relay.Board.Trim(fleet)
 			e.relay.Board.StepPaces(fleet)
-			e.relay.Board.SetEntries(len(fleet.Entries))
+			e.relay.Board.SetEntries(slices.Sorted(maps.Keys(fleet.Entries)))
 		}
 	}
 }
--- a/internal/run/chivemesh/mesh.go
+++ b/internal/run/chivemesh/mesh.go
@@ -60,8 +60,10 @@
 	Busy func() map[string]int
 	// Duty reports whether this entry VM holds the duty to balance expert maps.
 	Duty func() bool
-	// Heard takes the load of a peer.
-	Heard func(name string, busy map[string]int)
+	// Slow returns the paces of slow runners that this entry VM found itself.
+	Slow func() map[string]float64
+	// Heard takes each report of a peer.
+	Heard func(r *Report)
 	Log   *log.Logger
 
 	mu      sync.Mutex
@@ -117,6 +119,14 @@
 
 // period returns the time between two rounds of reports.
 func (m *Mesh) period() time.Duration {
+	// Others must notice soon when the holder of the duty has gone.
+	if m.Duty() {
+		return basePeriod
+	}
+	return m.usual()
+}
+
+func (m *Mesh) usual() time.Duration {
 	return max(basePeriod, time.Duration(len(m.Fleet().Entries))*periodPerEntry)
 }
 
@@ -154,7 +164,7 @@
 	m.mu.Lock()
 	leaving := m.leaving
 	m.mu.Unlock()
-	r := Report{From: m.Self.Name, Boot: m.Self.Boot, Leaving: leaving, Busy: m.Busy(), Duty: m.Duty()}
+	r := Report{From: m.Self.Name, Boot: m.Self.Boot, Leaving: leaving, Busy: m.Busy(), Duty: m.Duty(), Slow: m.Slow()}
 	if fleet.Config != nil {
 		r.Version, r.Age = fleet.Config.Version, chiveboot.Since(fleet.Confirmed)
 	}
@@ -165,7 +175,7 @@
 func (m *Mesh) update() {
 	entries := m.Fleet().Entries
 	now := chiveboot.Now()
-	limit := max(least, missed*m.period())
+	limit := max(least, missed*m.usual())
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.peers == nil {
@@ -192,7 +202,11 @@
 			delete(m.peers, name)
 			continue
 		}
-		if p.alive && now.Sub(p.Heard) > limit {
+		silent := limit
+		if p.Duty {
+			silent = least
+		}
+		if p.alive && now.Sub(p.Heard) > silent {
 			p.alive = false
 			m.Log.Warn("Peer is silent.", "peer", name, "for", now.Sub(p.Heard))
 		}
@@ -217,7 +231,7 @@
 			continue
 		}
 		if m.take(r) && m.Heard != nil {
-			m.Heard(r.From, r.Busy)
+			m.Heard(r)
 		}
 	}
 }
--- a/internal/run/chivemesh/message.go
+++ b/internal/run/chivemesh/message.go
@@ -29,6 +29,8 @@
 	// before the report.
 	Version int64         `cbor:"version"`
 	Age     time.Duration `cbor:"age"`
+	// Slow holds the paces of slow runners, as the holder of the duty knows them.
+	Slow map[string]float64 `cbor:"slow,omitempty"`
 	// Busy is the number of the sender's requests at each runner.
 	Busy map[string]int `cbor:"busy,omitempty"`
 }
--- a/internal/run/chiverelay/board.go
+++ b/internal/run/chiverelay/board.go
@@ -2,12 +2,14 @@
 
 import (
 	"math"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/chiveyoke/chiveyoke/internal/policy/chivechoice"
 	"github.com/chiveyoke/chiveyoke/internal/policy/chivepace"
 	"github.com/chiveyoke/chiveyoke/internal/policy/chivequota"
+	"github.com/chiveyoke/chiveyoke/internal/policy/chiveshard"
 	"github.com/chiveyoke/chiveyoke/internal/state/chiveboot"
 	"github.com/chiveyoke/chiveyoke/internal/state/chivefleet"
 )
@@ -18,6 +20,8 @@
 	suspectTime = 1500 * time.Millisecond
 	// loadAge is how long the load that another entry VM reported counts.
 	loadAge = 2500 * time.Millisecond
+	// slowAge is how long the news of a slow runner counts.
+	slowAge = 2500 * time.Millisecond
 )
 
 // Limits bound what entry VMs send together.
@@ -37,11 +41,14 @@
 	mu       sync.Mutex
 	own      map[string]int
 	peers    map[string]peerLoad
+	slow     map[string]peerSlow
 	suspects map[string]chiveboot.Moment
 	cold     map[string]*chivequota.Cold
 	retries  map[string]*chivequota.Retries
 	paces    map[string]*pace
-	entries  int
+	// self is the name of this entry VM among entries, which share the limits.
+	self    string
+	entries []string
 }
 
 // pace limits the requests at the model runners of a service.
@@ -57,20 +64,29 @@
 	busy map[string]int
 }
 
-// NewBoard returns a new Board.
-func NewBoard(limits Limits) *Board {
+// peerSlow is what a source knows of slow runners.
+type peerSlow struct {
+	at    chiveboot.Moment
+	paces map[string]float64
+}
+
+// ownSource begins the names of sources on this entry VM.
+const ownSource = "own/"
+
+// NewBoard returns a new Board of the entry VM with a name.
+func NewBoard(self string, limits Limits) *Board {
 	return &Board{
-		limits: limits, own: map[string]int{}, peers: map[string]peerLoad{}, suspects: map[string]chiveboot.Moment{},
+		limits: limits, own: map[string]int{}, peers: map[string]peerLoad{}, slow: map[string]peerSlow{}, suspects: map[string]chiveboot.Moment{},
 		cold: map[string]*chivequota.Cold{}, retries: map[string]*chivequota.Retries{}, paces: map[string]*pace{},
-		entries: 1,
+		self: self, entries: []string{self},
 	}
 }
 
-// SetEntries sets the number of entry VMs that share the limits.
-func (b *Board) SetEntries(n int) {
+// SetEntries sets the names of the entry VMs that share the limits.
+func (b *Board) SetEntries(names []string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.entries = max(1, n)
+	b.entries = names
 }
 
 // Peer notes the load that another entry VM reported.
@@ -80,6 +96,49 @@
 	b.peers[name] = peerLoad{at: chiveboot.Now(), busy: busy}
 }
 
+// Slow notes the slow runners that a source found, with their paces.
+func (b *Board) Slow(source string, paces map[string]float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(paces) == 0 {
+		delete(b.slow, source)
+		return
+	}
+	b.slow[source] = peerSlow{at: chiveboot.Now(), paces: paces}
+}
+
+// OwnSlow returns the slow runners that the holder of the map duty on this entry
+// VM found.
+func (b *Board) OwnSlow() map[string]float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	list := map[string]float64{}
+	for source, s := range b.slow {
+		if strings.HasPrefix(source, ownSource) && chiveboot.Since(s.at) < slowAge {
+			for id, pace := range s.paces {
+				list[id] = pace
+			}
+		}
+	}
+	return list
+}
+
+// OwnSource names a group of ranks as a source of this entry VM.
+func OwnSource(group string) string {
+	return ownSource + group
+}
+
+// slowFactor returns how much slower than others a runner is.
+func (b *Board) slowFactor(id string, now chiveboot.Moment) float64 {
+	most := 1.0
+	for _, s := range b.slow {
+		if now.Sub(s.at) < slowAge {
+			most = max(most, s.paces[id])
+		}
+	}
+	return most
+}
+
 // Own returns the number of this entry VM's requests at each runner.
 func (b *Board) Own() map[string]int {
 	b.mu.Lock()
@@ -109,7 +168,7 @@
 func (b *Board) Retry(service string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.budget(service).Take(time.Duration(chiveboot.Now()), b.entries)
+	return b.budget(service).Take(time.Duration(chiveboot.Now()), len(b.entries))
 }
 
 func (b *Board) budget(service string) *chivequota.Retries {
@@ -192,6 +251,10 @@
 		if p != nil {
 			slots = int(math.Ceil(p.Limit(slots)))
 		}
+		// A rank that is slow holds up its whole group with its own requests.
+		if pace := b.slowFactor(r.ID, now); pace > 1 {
+			slots = int(float64(slots)/pace) - c.Queue
+		}
 		list = append(list, chivechoice.Candidate{
 			Busy: b.busy(r.ID, now), Slots: slots, Near: r.Zone == w.Zone,
 			Suspect: now < b.suspects[r.ID], Tried: w.Tried[r.ID],
@@ -223,7 +286,7 @@
 		c = &chivequota.Cold{}
 		b.cold[r.ID] = c
 	}
-	return c.Take(time.Duration(now), s.ColdRate, b.entries)
+	return c.Take(time.Duration(now), s.ColdRate, len(b.entries), chiveshard.Place(r.ID, b.self, b.entries))
 }
 
 // Release ends the count of a request at a runner.
--- a/internal/state/chivefollow/follower.go
+++ b/internal/state/chivefollow/follower.go
@@ -63,8 +63,13 @@
 type Follower struct {
 	Source Source
 	Table  string
-	// Wait is how long one call waits for a change.
-	Wait time.Duration
+	// Wait returns how long the next call waits for a change.
+	Wait func() time.Duration
+	// Pause is the time between a call that brought changes and the next, in
+	// which further changes gather.
+	Pause time.Duration
+	// Hurry ends a call that waits; nil means that nothing does.
+	Hurry <-chan struct{}
 	// Changed takes each new copy; it must not keep the map of rows.
 	Changed func(Table)
 	Log     *log.Logger
@@ -91,6 +96,9 @@
 func (f *Follower) step(ctx context.Context) error {
 	sent := chiveboot.Now()
 	page, whole, err := f.call(ctx)
+	if errors.Is(err, errHurried) {
+		return nil
+	}
 	if errors.Is(err, ErrForgotten) {
 		f.Log.Warn("Changes are lost, reading the table again.", "table", f.Table, "after", f.version)
 		f.loaded = false
@@ -107,9 +115,19 @@
 	f.apply(page, whole)
 	f.table.Confirmed = sent
 	f.Changed(f.table)
+	if f.Pause > 0 && len(page.Rows) > 0 && !whole {
+		rest(ctx, f.Pause)
+	}
 	return nil
 }
 
+func rest(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
 // call reads the whole table the first time and its changes from then on.
 func (f *Follower) call(ctx context.Context) (page Page, whole bool, err error) {
 	if !f.loaded {
@@ -118,16 +136,44 @@
 		page, err = f.Source.Read(ctx, f.Table)
 		return page, true, err
 	}
-	wait := f.Wait
+	wait := f.Wait()
 	if f.failing {
 		wait = 0
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+slack)
 	defer cancel()
+	stop := f.watch(cancel)
 	page, err = f.Source.Changes(ctx, f.Table, f.version, wait)
+	if stop() && err != nil {
+		return Page{Version: f.version}, false, errHurried
+	}
 	return page, false, err
 }
 
+// errHurried is that of a call that was ended for a shorter one.
+var errHurried = errors.New("call was ended early")
+
+// watch ends a call when it is to hurry. The result reports whether it did.
+func (f *Follower) watch(cancel func()) (stop func() bool) {
+	if f.Hurry == nil {
+		return func() bool { return false }
+	}
+	ended, done := make(chan struct{}), make(chan bool, 1)
+	go func() {
+		select {
+		case <-f.Hurry:
+			cancel()
+			done <- true
+		case <-ended:
+			done <- false
+		}
+	}()
+	return func() bool {
+		close(ended)
+		return <-done
+	}
+}
+
 func (f *Follower) apply(page Page, whole bool) {
 	if whole {
 		f.table.Rows = make(map[string]Row, len(page.Rows))
@@ -150,8 +196,5 @@
 		f.failing = true
 	}
 	f.backoff = min(max(2*f.backoff, firstBackoff), lastBackoff)
-	select {
-	case <-ctx.Done():
-	case <-time.After(f.backoff):
-	}
+	rest(ctx, f.backoff)
 }
--- a/internal/state/chiverank/rank.go
+++ b/internal/state/chiverank/rank.go
@@ -76,6 +76,8 @@
 	// Map is the version in use, Prepared one that is ready, Armed one that is
 	// armed; 0 where there is none.
 	Map, Prepared, Armed int64
+	// Pace is over 1 for a rank that is slower than usual.
+	Pace float64
 	// Held is the pass at which this rank holds the group, -1 for none.
 	Held int64
 }
