--- /dev/null
+++ b/internal/policy/chivechoice/choice_test.go
@@ -0,0 +1,56 @@
+package chivechoice
+
+import (
+	"math/rand/v2"
+	"testing"
+)
+
+// TestChoose compares the choice with a naive search over all candidates.
+func TestChoose(t *testing.T) {
+	r := rand.New(rand.NewPCG(3, 4))
+	for range 5000 {
+		c := Chooser{Queue: r.IntN(4)}
+		list := make([]Candidate, r.IntN(12))
+		for i := range list {
+			list[i] = Candidate{
+				Busy: r.IntN(16), Slots: 1 + r.IntN(14), Near: r.IntN(2) == 0, Suspect: r.IntN(5) == 0, Tried: r.IntN(6) == 0,
+			}
+		}
+		got := c.Choose(list, r.Float64())
+		least, some := 0.0, false
+		for _, k := range list {
+			if w := c.weight(k); k.Busy < k.Slots+c.Queue && (!some || w < least) {
+				least, some = w, true
+			}
+		}
+		switch {
+		case !some && got != -1:
+			t.Fatalf("chose %d of %+v without room", got, list)
+		case some && (got < 0 || list[got].Busy >= list[got].Slots+c.Queue || c.weight(list[got]) != least):
+			t.Fatalf("chose %d of %+v", got, list)
+		}
+	}
+}
+
+// TestChooseOrder holds the preferences against each other.
+func TestChooseOrder(t *testing.T) {
+	tests := []struct {
+		give string
+		list []Candidate
+		want int
+	}{
+		{"nobody", nil, -1},
+		{"all are full", []Candidate{{Busy: 2, Slots: 2}}, -1},
+		{"a slow runner without slots", []Candidate{{Slots: 0}, {Busy: 3, Slots: 8}}, 1},
+		{"near before far", []Candidate{{Slots: 8}, {Busy: 1, Slots: 8, Near: true}}, 1},
+		{"far when near waits longer", []Candidate{{Slots: 8}, {Busy: 2, Slots: 8, Near: true}}, 0},
+		{"a suspect is passed over", []Candidate{{Slots: 8, Suspect: true}, {Busy: 7, Slots: 8}}, 1},
+		{"a suspect before one that had the request", []Candidate{{Slots: 8, Tried: true}, {Slots: 8, Suspect: true}}, 1},
+		{"the only one again", []Candidate{{Slots: 8, Tried: true, Suspect: true}}, 0},
+	}
+	for _, tt := range tests {
+		if got := (Chooser{}).Choose(tt.list, 0.5); got != tt.want {
+			t.Errorf("%s: chose %d, want %d", tt.give, got, tt.want)
+		}
+	}
+}
