--- /dev/null
+++ b/internal/run/chiveentry/tracker_test.go
@@ -0,0 +1,171 @@
+package chiveentry
+
+import (
+	"errors"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/chiveyoke/chiveyoke/internal/run/chivemesh"
+	"github.com/chiveyoke/chiveyoke/internal/state/chiveboot"
+	"github.com/chiveyoke/chiveyoke/internal/state/chivefleet"
+	"github.com/chiveyoke/chiveyoke/internal/state/chivefollow"
+)
+
+// plainCodec reads rows whose value is the address of a runner, or a version.
+type plainCodec struct{}
+
+func (plainCodec) Config(data []byte) (*chivefleet.Config, error) {
+	if len(data) != 1 {
+		return nil, errors.New("malformed")
+	}
+	return &chivefleet.Config{Version: int64(data[0])}, nil
+}
+
+func (plainCodec) Runner(id string, data []byte, _ chiveboot.Moment) (*chivefleet.Runner, error) {
+	if len(data) == 0 {
+		return nil, errors.New("malformed")
+	}
+	return &chivefleet.Runner{ID: id, Service: "s", Address: string(data)}, nil
+}
+
+func (plainCodec) Operator(key string) (bool, string) {
+	if key == "config" {
+		return true, ""
+	}
+	return false, key
+}
+
+func newTracker() *Tracker {
+	return NewTracker(plainCodec{}, log.New(io.Discard))
+}
+
+func rows(list ...chivefollow.Row) map[string]chivefollow.Row {
+	m := map[string]chivefollow.Row{}
+	for _, r := range list {
+		m[r.Key] = r
+	}
+	return m
+}
+
+// TestLapse keeps runners whose entries lapsed in an outage for a while.
+func TestLapse(t *testing.T) {
+	now := chiveboot.Now()
+	both := rows(chivefollow.Row{Key: "a", Value: []byte("1:1"), Version: 1}, chivefollow.Row{Key: "b", Value: []byte("2:1"), Version: 2})
+	one := rows(chivefollow.Row{Key: "a", Value: []byte("1:1"), Version: 1})
+	tests := []struct {
+		give   string
+		outage chiveboot.Moment
+		want   int
+	}{
+		{"without an outage it is gone", 0, 1},
+		{"long after an outage it is gone", now.Add(-time.Minute), 1},
+		{"just after an outage it stays", now.Add(-time.Second), 2},
+	}
+	for _, tt := range tests {
+		tr := newTracker()
+		tr.takeServers(chivefollow.Table{Rows: both})
+		tr.takeServers(chivefollow.Table{Rows: one, Outage: tt.outage})
+		if got := len(tr.Fleet().Runners["s"]); got != tt.want {
+			t.Errorf("%s: %d runners, want %d", tt.give, got, tt.want)
+		}
+	}
+	tr := newTracker()
+	tr.takeServers(chivefollow.Table{Rows: both})
+	tr.takeServers(chivefollow.Table{Rows: one, Outage: chiveboot.Now().Add(-lapseTime + 50*time.Millisecond)})
+	time.Sleep(60 * time.Millisecond)
+	tr.sweep()
+	if got := len(tr.Fleet().Runners["s"]); got != 1 {
+		t.Errorf("a runner that did not come back is still there: %d", got)
+	}
+}
+
+// TestMalformed passes over rows that cannot be read and keeps the others.
+func TestMalformed(t *testing.T) {
+	tr := newTracker()
+	tr.takeServers(chivefollow.Table{Rows: rows(chivefollow.Row{Key: "a", Value: []byte("1:1"), Version: 1}, chivefollow.Row{Key: "b", Version: 2})})
+	if got := len(tr.Fleet().Runners["s"]); got != 1 {
+		t.Errorf("%d runners", got)
+	}
+	tr.takeServers(chivefollow.Table{Rows: rows(chivefollow.Row{Key: "a", Version: 3})})
+	if got := len(tr.Fleet().Runners["s"]); got != 0 {
+		t.Errorf("%d runners after the entry became malformed", got)
+	}
+}
+
+// TestConfigNeverReverts takes versions in any order.
+func TestConfigNeverReverts(t *testing.T) {
+	tr := newTracker()
+	steps := []struct {
+		value   []byte
+		version int64
+		want    int64
+	}{
+		{[]byte{4}, 1, 4},
+		{[]byte{9}, 2, 9},
+		{[]byte{6}, 3, 9},
+		{nil, 4, 9},
+		{[]byte{12}, 5, 12},
+	}
+	for _, s := range steps {
+		tr.takeOperators(chivefollow.Table{Rows: rows(chivefollow.Row{Key: "config", Value: s.value, Version: s.version})})
+		if got := tr.Fleet().Config.Version; got != s.want {
+			t.Errorf("after row %d: version %d, want %d", s.version, got, s.want)
+		}
+	}
+}
+
+// TestEvacuated takes zones out and back.
+func TestEvacuated(t *testing.T) {
+	tr := newTracker()
+	tr.takeOperators(chivefollow.Table{Rows: rows(chivefollow.Row{Key: "z", Version: 1})})
+	if !tr.Fleet().Evacuated["z"] {
+		t.Error("zone is not evacuated")
+	}
+	tr.takeOperators(chivefollow.Table{Rows: rows()})
+	if tr.Fleet().Evacuated["z"] {
+		t.Error("zone is not taken back")
+	}
+}
+
+// TestAddresses answers with entry VMs that live, are up to date and near.
+func TestAddresses(t *testing.T) {
+	now := chiveboot.Now()
+	const age = 4 * time.Second
+	peer := func(name, zone string, leaving bool, confirmed chiveboot.Moment) chivemesh.Peer {
+		return chivemesh.Peer{Entry: chivefleet.Entry{Name: name, Zone: zone, Callers: name}, Leaving: leaving, Confirmed: confirmed}
+	}
+	self := chivefleet.Entry{Name: "self", Zone: "a", Callers: "self"}
+	fresh := &chivefleet.Fleet{Config: &chivefleet.Config{}, Confirmed: now}
+	tests := []struct {
+		give    string
+		fleet   *chivefleet.Fleet
+		leaving bool
+		peers   []chivemesh.Peer
+		zone    string
+		want    []string
+	}{
+		{"alone", fresh, false, nil, "a", []string{"self"}},
+		{"leaving and alone", fresh, true, nil, "a", []string{}},
+		{"near ones", fresh, false, []chivemesh.Peer{peer("n", "a", false, now), peer("f", "b", false, now)}, "a", []string{"self", "n"}},
+		{"too few near ones", fresh, false, []chivemesh.Peer{peer("f", "b", false, now)}, "b", []string{"self", "f"}},
+		{"a leaving peer", fresh, false, []chivemesh.Peer{peer("n", "a", true, now)}, "a", []string{"self"}},
+		{"a peer out of date", fresh, false, []chivemesh.Peer{peer("n", "a", false, now.Add(-time.Minute))}, "a", []string{"self"}},
+		{"self out of date", &chivefleet.Fleet{}, false, []chivemesh.Peer{peer("n", "b", false, now)}, "a", []string{"n"}},
+		{"all out of date", &chivefleet.Fleet{}, false, []chivemesh.Peer{peer("n", "a", false, 0)}, "a", []string{"self", "n"}},
+	}
+	for _, tt := range tests {
+		got := addresses(self, tt.leaving, tt.fleet, tt.peers, tt.zone, age)
+		if len(got) != len(tt.want) {
+			t.Errorf("%s: %v, want %v", tt.give, got, tt.want)
+			continue
+		}
+		for i := range got {
+			if got[i] != tt.want[i] {
+				t.Errorf("%s: %v, want %v", tt.give, got, tt.want)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/state/chivefleet/config_test.go
@@ -0,0 +1,57 @@
+package chivefleet
+
+import (
+	"fmt"
+	"testing"
+)
+
+func ExampleConfig_Route() {
+	c := &Config{
+		Services: map[string]*Service{"llm": {Name: "llm"}},
+		Routes: []Route{
+			{Name: "all", Host: "a.example", Prefix: "/", Targets: []Target{{Service: "llm", Weight: 1}}},
+			{Name: "drafts", Host: "a.example", Prefix: "/drafts/", Targets: []Target{{Service: "llm", Weight: 1}}},
+		},
+	}
+	if err := c.Index(); err != nil {
+		fmt.Println(err)
+		return
+	}
+	fmt.Println(c.Route("a.example", "/drafts/7").Name, c.Route("a.example", "/x").Name, c.Route("b.example", "/"))
+	// Output: drafts all <nil>
+}
+
+// TestIndex refuses configurations that contradict themselves.
+func TestIndex(t *testing.T) {
+	services := map[string]*Service{"llm": {Name: "llm"}}
+	tests := []struct {
+		give  string
+		route Route
+		ok    bool
+	}{
+		{"whole", Route{Host: "a", Prefix: "/", Targets: []Target{{Service: "llm"}}}, true},
+		{"no host", Route{Prefix: "/", Targets: []Target{{Service: "llm"}}}, false},
+		{"no prefix", Route{Host: "a", Targets: []Target{{Service: "llm"}}}, false},
+		{"no service", Route{Host: "a", Prefix: "/"}, false},
+		{"a service that does not exist", Route{Host: "a", Prefix: "/", Targets: []Target{{Service: "x"}}}, false},
+	}
+	for _, tt := range tests {
+		c := &Config{Services: services, Routes: []Route{tt.route}}
+		if err := c.Index(); (err == nil) != tt.ok {
+			t.Errorf("%s: %v", tt.give, err)
+		}
+	}
+}
+
+// TestGroup keeps the last started of the runners at one address.
+func TestGroup(t *testing.T) {
+	got := Group(map[string]*Runner{
+		"a": {ID: "a", Service: "s", Address: "1:1", Born: 10},
+		"b": {ID: "b", Service: "s", Address: "1:1", Born: 30},
+		"c": {ID: "c", Service: "s", Address: "1:1", Born: 20},
+		"d": {ID: "d", Service: "s", Address: "2:1", Born: 5},
+	})
+	if len(got["s"]) != 2 || got["s"][0].ID != "b" || got["s"][1].ID != "d" {
+		t.Errorf("runners are %v", got["s"])
+	}
+}
