Explain a request from logs, and serve metrics

Each request ends with one line, each failed attempt has one with its cause and whether it may have run. Counters and histograms by kind, verdict and status, and gauges of what the entry VM believes, on the second internal port.

--- a/cmd/chiveyoke-entry/main.go
+++ b/cmd/chiveyoke-entry/main.go
@@ -50,6 +50,7 @@
 		},
 		Readiness: s.Listen.Readiness,
 		Directory: s.Listen.Directory,
+		Metrics:   net.JoinHostPort(s.IP, strconv.Itoa(s.Ports[0]+1)),
 		Grace:     time.Duration(s.Bounds.GraceS * float64(time.Second)),
 		Revoke:    time.Duration(s.Bounds.RevokeMS * float64(time.Millisecond)),
 		Limits: chiverelay.Limits{
--- a/internal/run/chivecommand/command.go
+++ b/internal/run/chivecommand/command.go
@@ -71,7 +71,7 @@
 	flags.StringVar(&o.token, "token", "", "operator token (or "+envToken+")")
 	flags.StringVarP(&o.output, "output", "o", "text", "output format: text or json")
 	flags.StringVar(&o.author, "author", defaultAuthor(), "name that changes are logged under")
-	root.AddCommand(o.sheet(), o.zone(), o.endpoint(), o.status(), o.timeline(), o.config(), o.key(), o.cert())
+	root.AddCommand(o.sheet(), o.zone(), o.endpoint(), o.status(), o.timeline(), o.explain(), o.config(), o.key(), o.cert())
 	return root
 }
 
--- a/internal/run/chiveentry/entry.go
+++ b/internal/run/chiveentry/entry.go
@@ -23,8 +23,10 @@
 
 	"github.com/chiveyoke/chiveyoke/internal/peer/chiverunner"
 	"github.com/chiveyoke/chiveyoke/internal/run/chivebalance"
+	"github.com/chiveyoke/chiveyoke/internal/run/chivedaemon"
 	"github.com/chiveyoke/chiveyoke/internal/run/chivelog"
 	"github.com/chiveyoke/chiveyoke/internal/run/chivemesh"
+	"github.com/chiveyoke/chiveyoke/internal/run/chivemeter"
 	"github.com/chiveyoke/chiveyoke/internal/run/chiverelay"
 	"github.com/chiveyoke/chiveyoke/internal/state/chiveboot"
 	"github.com/chiveyoke/chiveyoke/internal/state/chivefleet"
@@ -85,6 +87,8 @@
 	// Readiness and Directory are the addresses of those services.
 	Readiness string
 	Directory string
+	// Metrics is the address of the metrics.
+	Metrics string
 	// Grace is the time from SIGTERM to SIGKILL.
 	Grace time.Duration
 	// Revoke is how long a key may be used after it was taken away.
@@ -139,6 +143,7 @@
 	mesh     *chivemesh.Mesh
 	relay    *chiverelay.Relay
 	balancer *chivebalance.Balancer
+	meter    *chivemeter.Meter
 	leaving  atomic.Bool
 	// hurry ends a call for the operators' table; waits says that it is a long
 	// one.
@@ -150,11 +155,11 @@
 // New returns a new Entry.
 func New(settings Settings, parts Parts) *Entry {
 	settings.Entry.Boot = rand.Uint64() | 1
-	e := &Entry{settings: settings, parts: parts, started: chiveboot.Now(), hurry: make(chan struct{}), logs: chivelog.NewWriter(parts.Logs)}
+	e := &Entry{settings: settings, parts: parts, started: chiveboot.Now(), hurry: make(chan struct{}), meter: chivemeter.New(), logs: chivelog.NewWriter(parts.Logs)}
 	e.log = log.NewWithOptions(e.logs, log.Options{
-		Prefix: settings.Entry.Name, Formatter: log.JSONFormatter, ReportTimestamp: true,
+		Prefix: "entry", Formatter: log.JSONFormatter, ReportTimestamp: true,
 		TimeFormat: "2006-01-02T15:04:05.000Z07:00",
-	})
+	}).With("process", settings.Entry.Name)
 	e.tracker = NewTracker(parts.Codec, e.log.WithPrefix("fleet"))
 	board := chiverelay.NewBoard(settings.Entry.Name, settings.Limits)
 	e.balancer = &chivebalance.Balancer{
@@ -172,7 +177,7 @@
 	}
 	e.relay = &chiverelay.Relay{
 		Dialect: parts.Dialect, Board: board, Pool: &chiverunner.Pool{}, Log: e.log.WithPrefix("relay"),
-		Zone: settings.Entry.Zone, Fleet: e.fleet, MaxAge: e.maxAge(),
+		Zone: settings.Entry.Zone, Fleet: e.fleet, MaxAge: e.maxAge(), Observe: e.observe,
 	}
 	return e
 }
@@ -231,6 +236,7 @@
 	}, interrupt)
 	group.Add(func() error { return e.register(base) }, interrupt)
 	group.Add(func() error { return e.trim(base) }, interrupt)
+	group.Add(func() error { return e.meter.Watch(base, e.gauges) }, func(error) { cancel(); e.meter.Close() })
 	group.Add(func() error { return e.logs.Run(logged) }, func(error) { endLogs() })
 	if err := e.serve(base, &group, callers); err != nil {
 		return err
@@ -251,6 +257,7 @@
 		{e.settings.Entry.Callers, callers},
 		{e.settings.Directory, small(e.parts.Front.Directory(e.resolve))},
 		{e.settings.Readiness, small(e.parts.Front.Readiness(e.ready))},
+		{e.settings.Metrics, small(chivedaemon.NewAdmin(e.state, e.meter))},
 	} {
 		l, err := net.Listen("tcp4", s.addr)
 		if err != nil {
@@ -367,6 +374,17 @@
 	return !e.leaving.Load() && f.Fresh(chiveboot.Now(), e.maxAge()) && len(f.Runners) > 0
 }
 
+// state tells what the daemon does.
+func (e *Entry) state() string {
+	switch {
+	case e.leaving.Load():
+		return "leaving"
+	case e.ready():
+		return chivedaemon.StateServing
+	}
+	return "starting"
+}
+
 // resolve answers a caller that asks where to connect.
 func (e *Entry) resolve(zone string) ([]string, time.Duration) {
 	return addresses(e.settings.Entry, e.leaving.Load(), e.fleet(), e.mesh.Peers(), zone, e.maxAge()), lifetime
--- /dev/null
+++ b/internal/run/chiveentry/metrics.go
@@ -0,0 +1,60 @@
+package chiveentry
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/chiveyoke/chiveyoke/internal/run/chiverelay"
+	"github.com/chiveyoke/chiveyoke/internal/state/chiveboot"
+)
+
+// latencies are the bounds of the latency histograms.
+var latencies = tally.DurationBuckets{
+	10 * time.Millisecond, 30 * time.Millisecond, 100 * time.Millisecond, 300 * time.Millisecond, 500 * time.Millisecond,
+	time.Second, 2 * time.Second, 4 * time.Second, 8 * time.Second,
+}
+
+// observe counts the outcome of a request.
+func (e *Entry) observe(o chiverelay.Outcome) {
+	scope := e.meter.Scope.Tagged(map[string]string{
+		"kind": o.Kind, "verdict": o.Verdict.String(), "status": strconv.Itoa(o.Status),
+	})
+	scope.Counter("requests").Inc(1)
+	scope.Counter("attempts").Inc(int64(o.Attempts))
+	if o.Status < 300 && o.Status > 0 {
+		kind := e.meter.Scope.Tagged(map[string]string{"kind": o.Kind})
+		kind.Histogram("first_seconds", latencies).RecordDuration(o.First)
+		kind.Histogram("total_seconds", latencies).RecordDuration(o.Total)
+	}
+}
+
+// gauges sets what the entry VM believes.
+func (e *Entry) gauges() {
+	s, f := e.meter.Scope, e.fleet()
+	if f.Config != nil {
+		s.Gauge("config_version").Update(float64(f.Config.Version))
+		s.Gauge("config_age_seconds").Update(chiveboot.Since(f.Confirmed).Seconds())
+	}
+	runners, busy := 0, 0
+	for name := range f.Runners {
+		runners += len(f.Usable(name))
+	}
+	for _, n := range e.relay.Board.Own() {
+		busy += n
+	}
+	s.Gauge("runners_usable").Update(float64(runners))
+	s.Gauge("requests_busy").Update(float64(busy))
+	s.Gauge("peers_alive").Update(float64(len(e.mesh.Peers())))
+	s.Gauge("zones_evacuated").Update(float64(len(f.Evacuated)))
+	s.Gauge("map_duty").Update(boolGauge(e.balancer.Holds()))
+	s.Gauge("leaving").Update(boolGauge(e.leaving.Load()))
+}
+
+func boolGauge(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/internal/run/chiverelay/relay.go
+++ b/internal/run/chiverelay/relay.go
@@ -58,7 +58,9 @@
 
 // An Outcome is the end of a request.
 type Outcome struct {
-	Route    string
+	Route string
+	// Kind is "idempotent", "once" or "stream"; it is empty without a route.
+	Kind     string
 	Status   int
 	Verdict  chiveverdict.Verdict
 	Attempts int
@@ -240,7 +242,10 @@
 		if done {
 			return
 		}
-		if ctx.Err() != nil || !x.again() {
+		again := ctx.Err() == nil && x.again()
+		x.relay.Log.Info("Attempt failed.", "request", x.request.ID, "runner", runner.ID, "attempt", x.attempts, "cause", x.cause,
+			"ran", x.mayHaveRun, "again", again, "left", ms(chiveboot.Until(x.deadline)))
+		if !again {
 			x.end(ctx)
 			return
 		}
@@ -366,24 +371,44 @@
 func (x *exchange) report() {
 	o := Outcome{Status: x.status, Verdict: x.verdict(), Attempts: x.attempts, First: x.first, Total: chiveboot.Since(x.began)}
 	if x.route != nil {
-		o.Route = x.route.Name
+		o.Route, o.Kind = x.route.Name, x.route.Kind.String()
 	}
 	if x.relay.Observe != nil {
 		x.relay.Observe(o)
 	}
+	text := "Request failed."
 	if x.cause == "" {
-		return
+		text = "Request served."
 	}
-	workspace := ""
-	if x.workspace != nil {
-		workspace = x.workspace.Name
+	x.relay.Log.Info(text, "request", x.request.ID, "route", o.Route, "workspace", x.workspaceName(), "status", o.Status,
+		"verdict", o.Verdict, "cause", x.cause, "runner", x.runner, "attempts", o.Attempts, "event", x.last, "first", ms(o.First),
+		"took", ms(o.Total), "version", x.version(), "age", x.age())
+}
+
+// ms rounds a time for logs.
+func ms(d time.Duration) string {
+	return d.Round(time.Millisecond).String()
+}
+
+func (x *exchange) workspaceName() string {
+	if x.workspace == nil {
+		return ""
 	}
-	var version int64
-	var age time.Duration
-	if x.fleet != nil && x.fleet.Config != nil {
-		version, age = x.fleet.Config.Version, chiveboot.Since(x.fleet.Confirmed)
+	return x.workspace.Name
+}
+
+// version returns that of the configuration that decided the request.
+func (x *exchange) version() int64 {
+	if x.fleet == nil || x.fleet.Config == nil {
+		return 0
+	}
+	return x.fleet.Config.Version
+}
+
+// age returns how long ago that configuration was known to be the newest.
+func (x *exchange) age() string {
+	if x.fleet == nil || x.fleet.Confirmed == 0 {
+		return "never"
 	}
-	x.relay.Log.Info("Request failed.", "request", x.request.ID, "route", o.Route, "workspace", workspace,
-		"status", o.Status, "verdict", o.Verdict, "cause", x.cause, "runner", x.runner, "attempts", o.Attempts,
-		"took", o.Total, "version", version, "age", age)
+	return ms(chiveboot.Since(x.fleet.Confirmed))
 }
--- a/internal/state/chivefleet/config.go
+++ b/internal/state/chivefleet/config.go
@@ -36,6 +36,13 @@
 	Streaming
 )
 
+var kindNames = [...]string{Idempotent: "idempotent", NonIdempotent: "once", Streaming: "stream"}
+
+// String returns the name of the kind in logs and metrics.
+func (k Kind) String() string {
+	return kindNames[k]
+}
+
 // A Route sends the requests of a host and path prefix to services.
 type Route struct {
 	Name     string
--- a/internal/state/chiverank/switcher_test.go
+++ b/internal/state/chiverank/switcher_test.go
@@ -245,7 +245,9 @@
 	old.Wait()
 	s, _ := newSwitcher(g, 100)
 	settle(ctx, t, s, ranks)
+	g.mu.Lock()
 	before := g.pass
+	g.mu.Unlock()
 	time.Sleep(20 * time.Second)
 	settle(ctx, t, s, ranks)
 	g.mu.Lock()
