--- /dev/null
+++ b/internal/bench/chiveplatform/runner.go
@@ -0,0 +1,129 @@
+package chiveplatform
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// A Runner is an endpoint: it answers calls and streams, and keeps what it ran.
+type Runner struct {
+	ID    string
+	Zone  string
+	Slots int
+	// Pieces and Pause are the number of events of a stream and the time between
+	// them.
+	Pieces int
+	Pause  time.Duration
+
+	mu   sync.Mutex
+	busy int
+	// runs holds when each request began to run.
+	runs map[string][]time.Time
+	// fail is the part of answers that are broken off after they ran.
+	fail float64
+}
+
+// NewRunner returns a new Runner with room for so many requests.
+func NewRunner(id, zone string, slots int) *Runner {
+	return &Runner{ID: id, Zone: zone, Slots: slots, Pieces: 12, Pause: 15 * time.Millisecond, runs: map[string][]time.Time{}}
+}
+
+// SetFail sets the part of answers that are broken off after they ran.
+func (r *Runner) SetFail(part float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fail = part
+}
+
+// Runs returns when requests began to run, by their ids.
+func (r *Runner) Runs() map[string][]time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list := make(map[string][]time.Time, len(r.runs))
+	for id, at := range r.runs {
+		list[id] = append([]time.Time(nil), at...)
+	}
+	return list
+}
+
+// Piece returns an event of the stream that answers a request.
+func Piece(id string, n int) string {
+	return fmt.Sprintf("id: %d\ndata: piece %d of %s\n\n", n, n, id)
+}
+
+// Whole returns the whole answer to a call.
+func Whole(id string) string {
+	return strings.Repeat("answer to "+id+";", 10)
+}
+
+// ServeHTTP implements http.Handler.
+func (r *Runner) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	if want := q.Header.Get("Chiveyoke-Expect-Instance"); want != "" && want != r.ID {
+		w.Header().Set("Chiveyoke-Instance-Id", r.ID)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	id := q.Header.Get("Chiveyoke-Attempt-Id")
+	broken, ok := r.begin(id)
+	if !ok {
+		w.Header().Set("Chiveyoke-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer r.end()
+	w.Header().Set("Chiveyoke-Attempt-Id", id)
+	w.Header().Set("Chiveyoke-Response-Seal", "seal-"+id)
+	if strings.HasPrefix(q.URL.Path, "/stream/") {
+		r.stream(w, q, id, broken)
+		return
+	}
+	if broken {
+		panic(http.ErrAbortHandler)
+	}
+	// The caller notices an answer that is cut.
+	_, _ = w.Write([]byte(Whole(id)))
+}
+
+func (r *Runner) stream(w http.ResponseWriter, q *http.Request, id string, broken bool) {
+	next := 0
+	if last, err := strconv.Atoi(q.Header.Get("Last-Event-Id")); err == nil {
+		next = last + 1
+	}
+	flush := http.NewResponseController(w)
+	for ; next < r.Pieces; next++ {
+		if broken && next == r.Pieces/2 {
+			panic(http.ErrAbortHandler)
+		}
+		if _, err := w.Write([]byte(Piece(id, next))); err != nil || flush.Flush() != nil {
+			return
+		}
+		select {
+		case <-q.Context().Done():
+			return
+		case <-time.After(r.Pause):
+		}
+	}
+}
+
+// begin takes a slot and notes the run. It returns false where no slot is free.
+func (r *Runner) begin(id string) (broken, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.busy >= r.Slots {
+		return false, false
+	}
+	r.busy++
+	r.runs[id] = append(r.runs[id], time.Now())
+	return rand.Float64() < r.fail, true
+}
+
+func (r *Runner) end() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.busy--
+}
--- a/internal/run/chivebalance/balancer.go
+++ b/internal/run/chivebalance/balancer.go
@@ -48,8 +48,10 @@
 	Slow func(group string, paces map[string]float64)
 	Log  *log.Logger
 
-	holds  atomic.Bool
-	groups map[string]*group
+	holds atomic.Bool
+	// failing says that the last step on the lease failed.
+	failing bool
+	groups  map[string]*group
 	// rounds counts the tokens of each group that this process has given.
 	rounds map[string]*int64
 }
@@ -101,9 +103,14 @@
 func (b *Balancer) step(ctx context.Context, keeper *chivelease.Keeper) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	if err := keeper.Step(ctx); err != nil && ctx.Err() == nil {
+	err := keeper.Step(ctx)
+	switch failed := err != nil; {
+	case failed && !b.failing:
 		b.Log.Warn("Lease could not be renewed or read.", "error", err)
+	case !failed && b.failing:
+		b.Log.Info("Lease is renewed or read again.")
 	}
+	b.failing = err != nil
 }
 
 // hold carries out the duty while the lease is held.
--- a/internal/run/chivecommand/explain.go
+++ b/internal/run/chivecommand/explain.go
@@ -158,6 +158,7 @@
 			last = l.Time
 		}
 	}
+	story.Lines = append(story.Lines, lastBefore(lines, processes, first.Add(-around))...)
 	for _, l := range lines {
 		l.Request = l.Fields["request"] == request
 		near := processes[l.Process] && !l.Time.Before(first.Add(-around)) && !l.Time.After(last.Add(around))
@@ -174,6 +175,25 @@
 	return story
 }
 
+// lastBefore returns what each process last noted of the store before a time: an
+// outage may have begun long before the request.
+func lastBefore(lines []Line, processes map[string]bool, at time.Time) []Line {
+	last := map[string]Line{}
+	for _, l := range lines {
+		if processes[l.Process] && l.Part == partStore && l.Time.Before(at) && !l.Time.Before(last[l.Process].Time) {
+			last[l.Process] = l
+		}
+	}
+	list := make([]Line, 0, len(last))
+	for _, l := range last {
+		list = append(list, l)
+	}
+	return list
+}
+
+// partStore is the part of a process that follows the store's tables.
+const partStore = "store"
+
 // tells reports whether a line about no request may explain one.
 func (l *Line) tells(subjects map[string]bool) bool {
 	if _, other := l.Fields["request"]; other {
