--- a/internal/run/chiveentry/entry.go
+++ b/internal/run/chiveentry/entry.go
@@ -50,8 +50,8 @@
 	runnerWait = 15 * time.Second
 	// runnerPause and entryPause let changes gather, so that one call brings
 	// many.
-	runnerPause = 300 * time.Millisecond
-	entryPause  = 700 * time.Millisecond
+	runnerPause = 600 * time.Millisecond
+	entryPause  = 1500 * time.Millisecond
 	// confirmers is the number of entry VMs that confirm the configuration for
 	// all.
 	confirmers = 3
--- a/internal/run/chiverelay/relay.go
+++ b/internal/run/chiverelay/relay.go
@@ -28,9 +28,9 @@
 	// defaultDeadline is that of requests whose caller and route set none.
 	defaultDeadline = 30 * time.Second
 	// comeBack is when refused callers may return at the soonest, formTime that
-	// after a group of ranks has broken: the ranks that are left notice it after
-	// 1.5 s and form anew. Callers are told up to half as much more, so that they
-	// do not come back together.
+	// after a group of ranks has broken or while a part of the system is away: the
+	// ranks that are left notice it after 1.5 s and form anew. Callers are told up
+	// to half as much more, so that they do not come back together.
 	comeBack = 800 * time.Millisecond
 	formTime = 1700 * time.Millisecond
 	// minLeft is the least time for which a request is sent to a runner.
@@ -112,6 +112,8 @@
 	last  int64
 	// event is when the last event came.
 	event chiveboot.Moment
+	// full says that no runner had room.
+	full bool
 	// broken says that a runner refused for the sake of another of its group.
 	broken bool
 	// held is a runner's own failure, for the caller if nothing better comes.
@@ -271,9 +273,10 @@
 		Service: x.service, Zone: x.relay.Zone, Tried: x.tried, Draw: rand.Float64(),
 	})
 	if runner == nil && x.cause == "" {
-		x.cause = "no runner has room"
-		if len(usable) == 0 {
-			x.cause = "the service has no runner"
+		x.full = len(usable) > 0
+		x.cause = "the service has no runner"
+		if x.full {
+			x.cause = "no runner has room"
 		}
 	}
 	return runner
@@ -334,9 +337,9 @@
 
 // refuse answers that the request has not run and tells when to come back.
 func (x *exchange) refuse(cause string) bool {
-	after := comeBack
-	if x.broken {
-		after = formTime
+	after := formTime
+	if x.full && !x.broken {
+		after = comeBack
 	}
 	after += time.Duration(rand.Int64N(int64(after / 2)))
 	x.relay.Dialect.Refuse(x.w.Header(), after)
