--- a/cmd/chiveyoke-soak/main.go
+++ b/cmd/chiveyoke-soak/main.go
@@ -34,7 +34,7 @@
 	cmd.Flags().Uint64Var(&s.Seed, "seed", 1, "seed of the faults and the callers")
 	cmd.Flags().DurationVar(&s.Time, "time", 5*time.Minute, "how long faults are made")
 	cmd.AddCommand(siteCommand())
-	if err := cmd.Execute(); err != nil {
+	if err := cmd.ExecuteContext(ctx); err != nil {
 		_, _ = fmt.Fprintln(os.Stderr, "chiveyoke-soak:", err)
 		os.Exit(1)
 	}
