--- a/internal/run/chiveentry/entry.go
+++ b/internal/run/chiveentry/entry.go
@@ -65,8 +65,8 @@
 	// listenTime is how long a process that is told to stop takes requests, until
 	// the last answers of the directory that name it have run out.
 	listenTime = 2900 * time.Millisecond
-	// settleTime is how long after its start an entry VM may not have heard of
-	// all its peers.
+	// settleTime is how long after it has learnt of its peers an entry VM may not
+	// have heard of all that live.
 	settleTime = 1500 * time.Millisecond
 	// storeAge is how old the last confirmation of the configuration may be at an
 	// entry VM that reaches the store.
@@ -147,15 +147,16 @@
 	leaving  atomic.Bool
 	// hurry ends a call for the operators' table; waits says that it is a long
 	// one.
-	hurry   chan struct{}
-	waits   atomic.Bool
-	started chiveboot.Moment
+	hurry chan struct{}
+	waits atomic.Bool
+	// met is the moment at which the other entry VMs were first known.
+	met atomic.Int64
 }
 
 // New returns a new Entry.
 func New(settings Settings, parts Parts) *Entry {
 	settings.Entry.Boot = rand.Uint64() | 1
-	e := &Entry{settings: settings, parts: parts, started: chiveboot.Now(), hurry: make(chan struct{}), meter: chivemeter.New(), logs: chivelog.NewWriter(parts.Logs)}
+	e := &Entry{settings: settings, parts: parts, hurry: make(chan struct{}), meter: chivemeter.New(), logs: chivelog.NewWriter(parts.Logs)}
 	e.log = log.NewWithOptions(e.logs, log.Options{
 		Prefix: "entry", Formatter: log.JSONFormatter, ReportTimestamp: true,
 		TimeFormat: "2006-01-02T15:04:05.000Z07:00",
@@ -337,7 +338,7 @@
 // with a smaller name could.
 func (e *Entry) candidate() bool {
 	now := chiveboot.Now()
-	if e.leaving.Load() || chiveboot.Since(e.started) < settleTime || !e.fleet().Fresh(now, storeAge) {
+	if e.leaving.Load() || !e.settled() || !e.fleet().Fresh(now, storeAge) {
 		return false
 	}
 	for _, p := range e.mesh.Peers() {
@@ -348,6 +349,13 @@
 	return true
 }
 
+// settled reports whether this entry VM has known the others for long enough to
+// have heard of those that live.
+func (e *Entry) settled() bool {
+	met := chiveboot.Moment(e.met.Load())
+	return met != 0 && chiveboot.Since(met) > settleTime
+}
+
 // process names an incarnation of an entry VM's process.
 func process(e chivefleet.Entry, boot uint64) string {
 	return fmt.Sprintf("%s/%x", e.Name, boot)
@@ -365,7 +373,7 @@
 			return name != process(p.Entry, p.Boot)
 		}
 	}
-	return chiveboot.Since(e.started) > settleTime
+	return e.settled()
 }
 
 // ready reports whether this entry VM serves.
@@ -428,6 +436,9 @@
 			return nil
 		case <-tick.C:
 			fleet := e.tracker.Fleet()
+			if len(fleet.Entries) > 0 && e.met.Load() == 0 {
+				e.met.Store(int64(chiveboot.Now()))
+			}
 			e.hasten()
 			e.relay.Pool.Trim()
 			e.relay.Board.Trim(fleet)
