--- a/Makefile
+++ b/Makefile
@@ -4,9 +4,10 @@
 SEED ?= 20261204
 TIME ?= 5m
 SOAK_SEED ?= 1
+SEEDS ?= 50
 FUZZ ?= 20s
 
-.PHONY: build demo test lint bench soak measure fuzz clean
+.PHONY: build demo test lint bench soak soak-site measure fuzz clean
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -35,7 +36,13 @@
 soak: build
 	$(BIN)/chiveyoke-soak --seed $(SOAK_SEED) --time $(TIME)
 
+# Runs entry VMs before the stand-in of the users' platform, a run for each seed.
+soak-site: build
+	$(BIN)/chiveyoke-soak site --seed $(SOAK_SEED) --seeds $(SEEDS)
+
 fuzz:
+	$(GO) test -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZ) ./platform
+	$(GO) test -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZ) ./internal/run/chivemesh
 	$(GO) test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZ) ./internal/state/chivesheet
 	$(GO) test -run '^$$' -fuzz FuzzParseKey -fuzztime $(FUZZ) ./internal/state/chiveclaim
 	$(GO) test -run '^$$' -fuzz FuzzOpen -fuzztime $(FUZZ) ./internal/peer/chivelink
