Repeat orders beside the rank until it answers

Change: a scout repeats an order to its rank every 28 ms within one call, the holder one that goes directly every 45 ms; tries no longer grow longer.

--- a/internal/peer/chivescout/client.go
+++ b/internal/peer/chivescout/client.go
@@ -55,11 +55,11 @@
 // beside its rank would keep it so.
 func (c *Client) Order(ctx context.Context, m chiverank.Member, o chiverank.Order) error {
 	if o.Op == chiverank.Hold || o.Op == chiverank.Go {
-		return c.Direct.Order(ctx, m, o)
+		return c.orderDirectly(ctx, m, o)
 	}
 	r, ok, err := c.call(ctx, m, pathOrder, Query{Order: &o})
 	if !ok {
-		return c.Direct.Order(ctx, m, o)
+		return c.orderDirectly(ctx, m, o)
 	}
 	if err != nil {
 		return err
@@ -73,6 +73,10 @@
 	return r.failed()
 }
 
+func (c *Client) orderDirectly(ctx context.Context, m chiverank.Member, o chiverank.Order) error {
+	return insist(ctx, farTry, func(ctx context.Context) error { return c.Direct.Order(ctx, m, o) })
+}
+
 // Report implements chiverank.Ranks.Report.
 func (c *Client) Report(ctx context.Context, m chiverank.Member) (chiverank.Report, error) {
 	r, ok, err := c.call(ctx, m, pathReport, Query{})
--- /dev/null
+++ b/internal/peer/chivescout/insist.go
@@ -0,0 +1,35 @@
+package chivescout
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/chiveyoke/chiveyoke/internal/state/chiverank"
+)
+
+const (
+	// nearTry and farTry bound one try of an order to the rank on the same VM and
+	// to one elsewhere. Ranks answer at once or not at all.
+	nearTry = 28 * time.Millisecond
+	farTry  = 45 * time.Millisecond
+	// orderBudget is how long a scout tries; its caller waits a little longer.
+	orderBudget = 90 * time.Millisecond
+)
+
+// insist repeats an order until the rank answers or the context ends. An order
+// that holds already is confirmed again, so that it may be repeated.
+func insist(ctx context.Context, each time.Duration, order func(context.Context) error) error {
+	for {
+		try, cancel := context.WithTimeout(ctx, each)
+		err := order(try)
+		silent := try.Err() != nil
+		cancel()
+		if err == nil || errors.Is(err, chiverank.ErrConflict) || errors.Is(err, chiverank.ErrFenced) {
+			return err
+		}
+		if ctx.Err() != nil || !silent {
+			return err
+		}
+	}
+}
--- a/internal/peer/chivescout/server.go
+++ b/internal/peer/chivescout/server.go
@@ -57,7 +57,9 @@
 	if q.Order == nil {
 		return Error.New("order is missing")
 	}
-	return s.Engine.Order(ctx, m, *q.Order)
+	ctx, cancel := context.WithTimeout(ctx, orderBudget)
+	defer cancel()
+	return insist(ctx, nearTry, func(ctx context.Context) error { return s.Engine.Order(ctx, m, *q.Order) })
 }
 
 func (s *Server) report(ctx context.Context, m chiverank.Member, _ *Query, r *Reply) error {
--- a/internal/state/chiverank/switcher.go
+++ b/internal/state/chiverank/switcher.go
@@ -11,14 +11,14 @@
 )
 
 const (
-	// orderTimeout bounds the first try of an order, a few round trips between
-	// zones; it doubles with each try up to lastTimeout.
-	orderTimeout = 80 * time.Millisecond
-	lastTimeout  = 320 * time.Millisecond
+	// orderTimeout bounds one try of an order, which the way to the rank may repeat
+	// within it; after quietTries without an answer that is logged.
+	orderTimeout = 130 * time.Millisecond
+	quietTries   = 4
 	// reportTimeout bounds the reading of a report.
 	reportTimeout = 250 * time.Millisecond
 	// orderPause is the pause between two tries of an order.
-	orderPause = 30 * time.Millisecond
+	orderPause = 10 * time.Millisecond
 	// prepareTime bounds the copying of experts.
 	prepareTime = 8 * time.Second
 	// reportPause is the pause between two looks at ranks that copy.
@@ -242,11 +242,11 @@
 // persist sends an order to one rank until it is confirmed or refused.
 func (s *Switcher) persist(ctx context.Context, m Member, o Order, limit time.Duration) error {
 	until := time.Now().Add(limit)
-	for wait := orderTimeout; ; wait = min(2*wait, lastTimeout) {
+	for tries := 1; ; tries++ {
 		if fence, held := s.Lease.Held(); !held || int64(fence) != o.Token>>fenceShift {
 			return Error.New("lease on group %s has lapsed", s.Group)
 		}
-		each, cancel := context.WithTimeout(ctx, wait)
+		each, cancel := context.WithTimeout(ctx, orderTimeout)
 		err := s.Ranks.Order(each, m, o)
 		cancel()
 		if err == nil || errors.Is(err, ErrConflict) || errors.Is(err, ErrFenced) {
@@ -255,7 +255,7 @@
 		if ctx.Err() != nil || time.Now().After(until) {
 			return err
 		}
-		if wait == lastTimeout {
+		if tries == quietTries {
 			s.Log.Warn("Order is not answered.", "group", s.Group, "rank", m.Rank, "order", o.Op, "token", o.Token, "error", err)
 		}
 		if err := sleep(ctx, orderPause); err != nil {
