--- a/internal/bench/chiveplatform/path_test.go
+++ b/internal/bench/chiveplatform/path_test.go
@@ -278,6 +278,7 @@
 	cause string
 }{
 	{1, "none: the short run of every CI"},
+	{28, "a stopping process hung: a copy of a table was handed to a tracker that had ended"},
 }
 
 // TestSoak plays a few seconds of random faults.
--- a/internal/run/chiveentry/entry.go
+++ b/internal/run/chiveentry/entry.go
@@ -225,7 +225,7 @@
 	var group run.Group
 	interrupt := func(error) { cancel() }
 	group.Add(func() error { return e.waitAndDrain(ctx, callers) }, interrupt)
-	for _, f := range e.followers() {
+	for _, f := range e.followers(base) {
 		group.Add(func() error { return f.Run(base) }, interrupt)
 	}
 	group.Add(func() error { return e.tracker.Run(base) }, interrupt)
@@ -276,13 +276,13 @@
 }
 
 // followers returns those of the store's tables.
-func (e *Entry) followers() []*chivefollow.Follower {
+func (e *Entry) followers(ctx context.Context) []*chivefollow.Follower {
 	t := e.settings.Tables
 	follow := func(table string, into chan chivefollow.Table) *chivefollow.Follower {
 		return &chivefollow.Follower{
 			Source: e.parts.Store, Table: table, Log: e.log.WithPrefix("store"),
 			Wait:    func() time.Duration { return runnerWait },
-			Changed: func(t chivefollow.Table) { into <- t },
+			Changed: func(t chivefollow.Table) { hand(ctx, into, t) },
 		}
 	}
 	operators, runners, own := follow(t.Operators, e.tracker.operators), follow(t.Runners, e.tracker.servers), follow(t.Own, e.tracker.entries)
@@ -291,6 +291,14 @@
 	return []*chivefollow.Follower{operators, runners, own}
 }
 
+// hand gives a copy to the tracker, unless the daemon ends and nobody takes it.
+func hand(ctx context.Context, into chan<- chivefollow.Table, t chivefollow.Table) {
+	select {
+	case into <- t:
+	case <-ctx.Done():
+	}
+}
+
 // operatorsWait returns how long a call for the operators' table waits. A few
 // entry VMs confirm the configuration every configWait; the others take it from
 // them and wait longer.
@@ -361,8 +369,8 @@
 	return fmt.Sprintf("%s/%x", e.Name, boot)
 }
 
-// gone reports whether the process of a name has ended or is silent, as far as
-// the entry VM itself or its peers show.
+// gone reports whether the process of a name has ended, is leaving or is silent,
+// as far as the entry VM itself or its peers show.
 func (e *Entry) gone(name string) bool {
 	entry, _, _ := strings.Cut(name, "/")
 	if entry == e.settings.Entry.Name {
@@ -370,7 +378,7 @@
 	}
 	for _, p := range e.mesh.Peers() {
 		if p.Entry.Name == entry {
-			return name != process(p.Entry, p.Boot)
+			return p.Leaving || name != process(p.Entry, p.Boot)
 		}
 	}
 	return e.settled()
--- a/internal/run/chiveentry/tracker_test.go
+++ b/internal/run/chiveentry/tracker_test.go
@@ -1,6 +1,7 @@
 package chiveentry
 
 import (
+	"context"
 	"errors"
 	"io"
 	"testing"
@@ -82,6 +83,23 @@
 	}
 }
 
+// TestHand gives a copy up where the tracker has ended first: a process that
+// stops must not wait for it.
+func TestHand(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		hand(ctx, newTracker().operators, chivefollow.Table{})
+	}()
+	cancel()
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		t.Fatal("still waits for the tracker")
+	}
+}
+
 // TestMalformed passes over rows that cannot be read and keeps the others.
 func TestMalformed(t *testing.T) {
 	tr := newTracker()
