Gather changes by the size of the fleet, and settle sooner after a start

Cause: pauses of 0.6 s, made for 46 entry VMs, showed 8 of them a group that had opened late; a restarted fleet waited 1.5 s before anybody took the map duty; callers with keys that may be out of date were sent away for as long as after a broken group, though other entry VMs served.

--- a/internal/run/chiveentry/entry.go
+++ b/internal/run/chiveentry/entry.go
@@ -48,10 +48,14 @@
 	// change. The first bounds the age of what is known of keys.
 	configWait = 700 * time.Millisecond
 	runnerWait = 15 * time.Second
-	// runnerPause and entryPause let changes gather, so that one call brings
-	// many.
-	runnerPause = 600 * time.Millisecond
-	entryPause  = 1500 * time.Millisecond
+	// leastPause and mostPause bound the time in which changes of runners gather,
+	// so that one call brings many; it is pausePerEntry for each entry VM, since
+	// all of them read each change. Drains leave two seconds.
+	leastPause    = 200 * time.Millisecond
+	mostPause     = 600 * time.Millisecond
+	pausePerEntry = 15 * time.Millisecond
+	// entryPause does the same for entry VMs.
+	entryPause = 1500 * time.Millisecond
 	// confirmers is the number of entry VMs that confirm the configuration for
 	// all.
 	confirmers = 3
@@ -65,9 +69,9 @@
 	// listenTime is how long a process that is told to stop takes requests, until
 	// the last answers of the directory that name it have run out.
 	listenTime = 2900 * time.Millisecond
-	// settleTime is how long after it has learnt of its peers an entry VM may not
-	// have heard of all that live.
-	settleTime = 1500 * time.Millisecond
+	// settlePeriods is the number of periods of reports after which an entry VM
+	// that has learnt of its peers has heard of all that live.
+	settlePeriods = 3
 	// storeAge is how old the last confirmation of the configuration may be at an
 	// entry VM that reaches the store.
 	storeAge = 3 * time.Second
@@ -287,10 +291,16 @@
 	}
 	operators, runners, own := follow(t.Operators, e.tracker.operators), follow(t.Runners, e.tracker.servers), follow(t.Own, e.tracker.entries)
 	operators.Wait, operators.Hurry = e.operatorsWait, e.hurry
-	runners.Pause, own.Pause = runnerPause, entryPause
+	runners.Pause = e.runnerPause
+	own.Pause = func() time.Duration { return entryPause }
 	return []*chivefollow.Follower{operators, runners, own}
 }
 
+// runnerPause returns how long changes of runners gather.
+func (e *Entry) runnerPause() time.Duration {
+	return min(max(leastPause, time.Duration(len(e.tracker.Fleet().Entries))*pausePerEntry), mostPause)
+}
+
 // hand gives a copy to the tracker, unless the daemon ends and nobody takes it.
 func hand(ctx context.Context, into chan<- chivefollow.Table, t chivefollow.Table) {
 	select {
@@ -361,7 +371,7 @@
 // have heard of those that live.
 func (e *Entry) settled() bool {
 	met := chiveboot.Moment(e.met.Load())
-	return met != 0 && chiveboot.Since(met) > settleTime
+	return met != 0 && chiveboot.Since(met) > settlePeriods*e.mesh.Period()
 }
 
 // process names an incarnation of an entry VM's process.
--- a/internal/run/chivemesh/mesh.go
+++ b/internal/run/chivemesh/mesh.go
@@ -123,10 +123,11 @@
 	if m.Duty() {
 		return basePeriod
 	}
-	return m.usual()
+	return m.Period()
 }
 
-func (m *Mesh) usual() time.Duration {
+// Period returns the time between two reports of most entry VMs.
+func (m *Mesh) Period() time.Duration {
 	return max(basePeriod, time.Duration(len(m.Fleet().Entries))*periodPerEntry)
 }
 
@@ -175,7 +176,7 @@
 func (m *Mesh) update() {
 	entries := m.Fleet().Entries
 	now := chiveboot.Now()
-	limit := max(least, missed*m.usual())
+	limit := max(least, missed*m.Period())
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.peers == nil {
--- a/internal/run/chiverelay/relay.go
+++ b/internal/run/chiverelay/relay.go
@@ -112,8 +112,8 @@
 	last  int64
 	// event is when the last event came.
 	event chiveboot.Moment
-	// full says that no runner had room.
-	full bool
+	// away says that no runner or no configuration is known.
+	away bool
 	// broken says that a runner refused for the sake of another of its group.
 	broken bool
 	// held is a runner's own failure, for the caller if nothing better comes.
@@ -134,6 +134,7 @@
 	x.request, x.last = request, request.LastEvent
 	x.fleet = y.Fleet()
 	if x.fleet.Config == nil {
+		x.away = true
 		return x.refuse("no configuration is known yet")
 	}
 	fresh := x.fresh()
@@ -273,10 +274,10 @@
 		Service: x.service, Zone: x.relay.Zone, Tried: x.tried, Draw: rand.Float64(),
 	})
 	if runner == nil && x.cause == "" {
-		x.full = len(usable) > 0
-		x.cause = "the service has no runner"
-		if x.full {
-			x.cause = "no runner has room"
+		x.away = len(usable) == 0
+		x.cause = "no runner has room"
+		if x.away {
+			x.cause = "the service has no runner"
 		}
 	}
 	return runner
@@ -337,9 +338,9 @@
 
 // refuse answers that the request has not run and tells when to come back.
 func (x *exchange) refuse(cause string) bool {
-	after := formTime
-	if x.full && !x.broken {
-		after = comeBack
+	after := comeBack
+	if x.away || x.broken {
+		after = formTime
 	}
 	after += time.Duration(rand.Int64N(int64(after / 2)))
 	x.relay.Dialect.Refuse(x.w.Header(), after)
--- a/internal/state/chivefollow/follower.go
+++ b/internal/state/chivefollow/follower.go
@@ -65,9 +65,9 @@
 	Table  string
 	// Wait returns how long the next call waits for a change.
 	Wait func() time.Duration
-	// Pause is the time between a call that brought changes and the next, in
-	// which further changes gather.
-	Pause time.Duration
+	// Pause returns the time between a call that brought changes and the next, in
+	// which further changes gather; nil means none.
+	Pause func() time.Duration
 	// Hurry ends a call that waits; nil means that nothing does.
 	Hurry <-chan struct{}
 	// Changed takes each new copy; it must not keep the map of rows.
@@ -115,8 +115,8 @@
 	f.apply(page, whole)
 	f.table.Confirmed = sent
 	f.Changed(f.table)
-	if f.Pause > 0 && len(page.Rows) > 0 && !whole {
-		rest(ctx, f.Pause)
+	if f.Pause != nil && len(page.Rows) > 0 && !whole {
+		rest(ctx, f.Pause())
 	}
 	return nil
 }
