--- a/cmd/chiveyoke-entry/main.go
+++ b/cmd/chiveyoke-entry/main.go
@@ -3,15 +3,13 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
 	"os"
-	"os/signal"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/chiveyoke/chiveyoke/internal/peer/chivescout"
+	"github.com/chiveyoke/chiveyoke/internal/run/chivedaemon"
 	"github.com/chiveyoke/chiveyoke/internal/run/chiveentry"
 	"github.com/chiveyoke/chiveyoke/internal/run/chiverelay"
 	"github.com/chiveyoke/chiveyoke/internal/state/chivefleet"
@@ -19,14 +17,7 @@
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	// The settings that a process reads do not change while it runs.
-	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
-	if err := serve(ctx); err != nil {
-		_, _ = fmt.Fprintln(os.Stderr, "chiveyoke-entry:", err)
-		os.Exit(1)
-	}
+	os.Exit(chivedaemon.Serve("chiveyoke-entry", serve))
 }
 
 func serve(ctx context.Context) error {
--- a/cmd/chiveyoke-scout/main.go
+++ b/cmd/chiveyoke-scout/main.go
@@ -9,12 +9,11 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/chiveyoke/chiveyoke/internal/peer/chivescout"
+	"github.com/chiveyoke/chiveyoke/internal/run/chivedaemon"
 	"github.com/chiveyoke/chiveyoke/platform"
 )
 
@@ -26,14 +25,7 @@
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	// The settings that a process reads do not change while it runs.
-	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
-	if err := serve(ctx); err != nil {
-		_, _ = fmt.Fprintln(os.Stderr, "chiveyoke-scout:", err)
-		os.Exit(1)
-	}
+	os.Exit(chivedaemon.Serve("chiveyoke-scout", serve))
 }
 
 func serve(ctx context.Context) error {
--- a/internal/bench/chiveplatform/path_test.go
+++ b/internal/bench/chiveplatform/path_test.go
@@ -70,14 +70,6 @@
 	return s
 }
 
-func (s *Site) runsOf(id string) int {
-	n := 0
-	for _, r := range s.Runners {
-		n += len(r.Runs()[id])
-	}
-	return n
-}
-
 // stream returns the whole stream that answers a request.
 func stream(id string, pieces int) string {
 	var b strings.Builder
--- /dev/null
+++ b/internal/run/chiveentry/duty.go
@@ -0,0 +1,36 @@
+package chiveentry
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/chiveyoke/chiveyoke/internal/state/chiveboot"
+	"github.com/chiveyoke/chiveyoke/internal/state/chivefleet"
+)
+
+// settled reports whether this entry VM has known the others for long enough to
+// have heard of those that live.
+func (e *Entry) settled() bool {
+	met := chiveboot.Moment(e.met.Load())
+	return met != 0 && chiveboot.Since(met) > settlePeriods*e.mesh.Period()
+}
+
+// process names an incarnation of an entry VM's process.
+func process(e chivefleet.Entry, boot uint64) string {
+	return fmt.Sprintf("%s/%x", e.Name, boot)
+}
+
+// gone reports whether the process of a name has ended, is leaving or is silent,
+// as far as the entry VM itself or its peers show.
+func (e *Entry) gone(name string) bool {
+	entry, _, _ := strings.Cut(name, "/")
+	if entry == e.settings.Entry.Name {
+		return name != process(e.settings.Entry, e.settings.Entry.Boot)
+	}
+	for _, p := range e.mesh.Peers() {
+		if p.Entry.Name == entry {
+			return p.Leaving || name != process(p.Entry, p.Boot)
+		}
+	}
+	return e.settled()
+}
--- a/internal/run/chiveentry/entry.go
+++ b/internal/run/chiveentry/entry.go
@@ -4,26 +4,20 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"io"
 	"maps"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"slices"
-	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/oklog/run"
 	"github.com/zeebo/errs"
 
 	"github.com/chiveyoke/chiveyoke/internal/peer/chiverunner"
 	"github.com/chiveyoke/chiveyoke/internal/run/chivebalance"
-	"github.com/chiveyoke/chiveyoke/internal/run/chivedaemon"
 	"github.com/chiveyoke/chiveyoke/internal/run/chivelog"
 	"github.com/chiveyoke/chiveyoke/internal/run/chivemesh"
 	"github.com/chiveyoke/chiveyoke/internal/run/chivemeter"
@@ -187,31 +181,6 @@
 	return e
 }
 
-// maxAge returns how long a confirmation of the configuration counts.
-func (e *Entry) maxAge() time.Duration {
-	return time.Duration(float64(e.settings.Revoke) * freshPart)
-}
-
-// fleet returns the newest view, with what peers know of its configuration.
-func (e *Entry) fleet() *chivefleet.Fleet {
-	f := e.tracker.Fleet()
-	if f.Config == nil || f.Fresh(chiveboot.Now(), configWait) {
-		return f
-	}
-	lent := f.Confirmed
-	for _, p := range e.mesh.Peers() {
-		if p.Version == f.Config.Version {
-			lent = max(lent, p.Confirmed)
-		}
-	}
-	if lent == f.Confirmed {
-		return f
-	}
-	next := *f
-	next.Confirmed = lent
-	return &next
-}
-
 // Run serves until the context ends and then lets every request end.
 func (e *Entry) Run(ctx context.Context) error {
 	base, cancel := context.WithCancel(context.Background())
@@ -250,200 +219,6 @@
 	return group.Run()
 }
 
-// serve adds the servers to a group.
-func (e *Entry) serve(base context.Context, group *run.Group, callers *http.Server) error {
-	small := func(h http.Handler) *http.Server {
-		return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	}
-	for _, s := range []struct {
-		addr   string
-		server *http.Server
-	}{
-		{e.settings.Entry.Callers, callers},
-		{e.settings.Directory, small(e.parts.Front.Directory(e.resolve))},
-		{e.settings.Readiness, small(e.parts.Front.Readiness(e.ready))},
-		{e.settings.Metrics, small(chivedaemon.NewAdmin(e.state, e.meter))},
-	} {
-		l, err := net.Listen("tcp4", s.addr)
-		if err != nil {
-			return Error.Wrap(err)
-		}
-		group.Add(func() error {
-			if err := s.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-				return Error.Wrap(err)
-			}
-			<-base.Done()
-			return nil
-		}, func(error) { _ = s.server.Close() })
-	}
-	return nil
-}
-
-// followers returns those of the store's tables.
-func (e *Entry) followers(ctx context.Context) []*chivefollow.Follower {
-	t := e.settings.Tables
-	follow := func(table string, into chan chivefollow.Table) *chivefollow.Follower {
-		return &chivefollow.Follower{
-			Source: e.parts.Store, Table: table, Log: e.log.WithPrefix("store"),
-			Wait:    func() time.Duration { return runnerWait },
-			Changed: func(t chivefollow.Table) { hand(ctx, into, t) },
-		}
-	}
-	operators, runners, own := follow(t.Operators, e.tracker.operators), follow(t.Runners, e.tracker.servers), follow(t.Own, e.tracker.entries)
-	operators.Wait, operators.Hurry = e.operatorsWait, e.hurry
-	runners.Pause = e.runnerPause
-	own.Pause = func() time.Duration { return entryPause }
-	return []*chivefollow.Follower{operators, runners, own}
-}
-
-// runnerPause returns how long changes of runners gather.
-func (e *Entry) runnerPause() time.Duration {
-	return min(max(leastPause, time.Duration(len(e.tracker.Fleet().Entries))*pausePerEntry), mostPause)
-}
-
-// hand gives a copy to the tracker, unless the daemon ends and nobody takes it.
-func hand(ctx context.Context, into chan<- chivefollow.Table, t chivefollow.Table) {
-	select {
-	case into <- t:
-	case <-ctx.Done():
-	}
-}
-
-// operatorsWait returns how long a call for the operators' table waits. A few
-// entry VMs confirm the configuration every configWait; the others take it from
-// them and wait longer.
-func (e *Entry) operatorsWait() time.Duration {
-	short := e.confirms() || chiveboot.Since(e.fleet().Confirmed) > e.lentAge()
-	e.waits.Store(!short)
-	if short {
-		return configWait
-	}
-	return runnerWait
-}
-
-// lentAge is how old what peers lend may be before an entry VM asks the store
-// itself.
-func (e *Entry) lentAge() time.Duration {
-	return e.maxAge() / 2
-}
-
-// confirms reports whether this entry VM is one of the few that confirm the
-// configuration for all.
-func (e *Entry) confirms() bool {
-	before := 0
-	for _, p := range e.mesh.Peers() {
-		if !p.Leaving && p.Entry.Name < e.settings.Entry.Name {
-			before++
-		}
-	}
-	return before < confirmers
-}
-
-// hasten ends a long call for the operators' table when peers no longer lend
-// their confirmations.
-func (e *Entry) hasten() {
-	if !e.waits.Load() || chiveboot.Since(e.fleet().Confirmed) < e.lentAge() {
-		return
-	}
-	select {
-	case e.hurry <- struct{}{}:
-	default:
-	}
-}
-
-// candidate reports whether this entry VM should try to hold the duty to balance
-// expert maps: it reaches the store, nobody alive holds the duty, and no peer
-// with a smaller name could.
-func (e *Entry) candidate() bool {
-	now := chiveboot.Now()
-	if e.leaving.Load() || !e.settled() || !e.fleet().Fresh(now, storeAge) {
-		return false
-	}
-	for _, p := range e.mesh.Peers() {
-		if p.Duty || !p.Leaving && p.Entry.Name < e.settings.Entry.Name && now.Sub(p.Confirmed) < storeAge {
-			return false
-		}
-	}
-	return true
-}
-
-// settled reports whether this entry VM has known the others for long enough to
-// have heard of those that live.
-func (e *Entry) settled() bool {
-	met := chiveboot.Moment(e.met.Load())
-	return met != 0 && chiveboot.Since(met) > settlePeriods*e.mesh.Period()
-}
-
-// process names an incarnation of an entry VM's process.
-func process(e chivefleet.Entry, boot uint64) string {
-	return fmt.Sprintf("%s/%x", e.Name, boot)
-}
-
-// gone reports whether the process of a name has ended, is leaving or is silent,
-// as far as the entry VM itself or its peers show.
-func (e *Entry) gone(name string) bool {
-	entry, _, _ := strings.Cut(name, "/")
-	if entry == e.settings.Entry.Name {
-		return name != process(e.settings.Entry, e.settings.Entry.Boot)
-	}
-	for _, p := range e.mesh.Peers() {
-		if p.Entry.Name == entry {
-			return p.Leaving || name != process(p.Entry, p.Boot)
-		}
-	}
-	return e.settled()
-}
-
-// ready reports whether this entry VM serves.
-func (e *Entry) ready() bool {
-	f := e.fleet()
-	return !e.leaving.Load() && f.Fresh(chiveboot.Now(), e.maxAge()) && len(f.Runners) > 0
-}
-
-// state tells what the daemon does.
-func (e *Entry) state() string {
-	switch {
-	case e.leaving.Load():
-		return "leaving"
-	case e.ready():
-		return chivedaemon.StateServing
-	}
-	return "starting"
-}
-
-// resolve answers a caller that asks where to connect.
-func (e *Entry) resolve(zone string) ([]string, time.Duration) {
-	return addresses(e.settings.Entry, e.leaving.Load(), e.fleet(), e.mesh.Peers(), zone, e.maxAge()), lifetime
-}
-
-// register writes this entry VM's row until the store has it.
-func (e *Entry) register(ctx context.Context) error {
-	value, err := cbor.Marshal(&e.settings.Entry)
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	for ctx.Err() == nil {
-		if err = e.write(ctx, func(ctx context.Context) error {
-			return e.parts.Store.Put(ctx, e.settings.Tables.Own, entryPrefix+e.settings.Entry.Name, value)
-		}); err == nil {
-			break
-		}
-		e.log.Warn("Entry was not registered.", "error", err)
-		select {
-		case <-ctx.Done():
-		case <-time.After(retryPause):
-		}
-	}
-	<-ctx.Done()
-	return nil
-}
-
-func (e *Entry) write(ctx context.Context, do func(context.Context) error) error {
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
-	defer cancel()
-	return do(ctx)
-}
-
 // trim closes what is no longer used.
 func (e *Entry) trim(ctx context.Context) error {
 	tick := time.NewTicker(trimPeriod)
--- /dev/null
+++ b/internal/run/chiveentry/register.go
@@ -0,0 +1,36 @@
+package chiveentry
+
+import (
+	"context"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// register writes this entry VM's row until the store has it.
+func (e *Entry) register(ctx context.Context) error {
+	value, err := cbor.Marshal(&e.settings.Entry)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	for ctx.Err() == nil {
+		if err = e.write(ctx, func(ctx context.Context) error {
+			return e.parts.Store.Put(ctx, e.settings.Tables.Own, entryPrefix+e.settings.Entry.Name, value)
+		}); err == nil {
+			break
+		}
+		e.log.Warn("Entry was not registered.", "error", err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(retryPause):
+		}
+	}
+	<-ctx.Done()
+	return nil
+}
+
+func (e *Entry) write(ctx context.Context, do func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	return do(ctx)
+}
