--- a/internal/run/chiveentry/duty.go
+++ b/internal/run/chiveentry/duty.go
@@ -34,3 +34,19 @@
 	}
 	return e.settled()
 }
+
+// candidate reports whether this entry VM should try to hold the duty to balance
+// expert maps: it reaches the store, nobody alive holds the duty, and no peer
+// with a smaller name could.
+func (e *Entry) candidate() bool {
+	now := chiveboot.Now()
+	if e.leaving.Load() || !e.settled() || !e.fleet().Fresh(now, storeAge) {
+		return false
+	}
+	for _, p := range e.mesh.Peers() {
+		if p.Duty || !p.Leaving && p.Entry.Name < e.settings.Entry.Name && now.Sub(p.Confirmed) < storeAge {
+			return false
+		}
+	}
+	return true
+}
