Reset the connection of an abandoned request

Change: a connection with a request that is given up is reset, so that what is still on its way is lost with it. TestAbandoned fails with the ordinary close (the runner reads an end of file).

--- a/internal/peer/chiverunner/conn.go
+++ b/internal/peer/chiverunner/conn.go
@@ -48,6 +48,16 @@
 	_ = c.nc.Close()
 }
 
+// Abort closes the connection by a reset. Bytes of an abandoned request that are
+// still on their way are lost with it, so that the runner does not begin it later.
+func (c *Conn) Abort() {
+	if tcp, ok := c.nc.(*net.TCPConn); ok {
+		// A connection that is closed already needs no reset.
+		_ = tcp.SetLinger(0)
+	}
+	c.Close()
+}
+
 // A SendError is a failure to send a request.
 type SendError struct {
 	// Sent says that bytes of the request may have left.
@@ -66,9 +76,9 @@
 
 // Exchange sends a request, given as its header and its body, and reads the
 // header of its answer. Answers that do not match are skipped. The connection
-// closes when the context ends; stop undoes that.
+// is aborted when the context ends; stop undoes that.
 func (c *Conn) Exchange(ctx context.Context, req *http.Request, header, body []byte, match Matcher) (resp *http.Response, stop func() bool, err error) {
-	stop = context.AfterFunc(ctx, c.Close)
+	stop = context.AfterFunc(ctx, c.Abort)
 	if err := c.send(header, body); err != nil {
 		stop()
 		return nil, nil, err
--- /dev/null
+++ b/internal/peer/chiverunner/conn_test.go
@@ -0,0 +1,162 @@
+package chiverunner
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// listen returns a listener and the connections that it accepts.
+func listen(t *testing.T) (addr string, accepted chan net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	accepted = make(chan net.Conn, 8)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- c
+		}
+	}()
+	return l.Addr().String(), accepted
+}
+
+// TestAbandoned resets the connection of a request whose caller has left, so that
+// a runner which stood still does not find it complete.
+func TestAbandoned(t *testing.T) {
+	addr, accepted := listen(t)
+	c, err := (&Pool{}).Take(t.Context(), addr, true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	runner := <-accepted
+	defer func() { _ = runner.Close() }()
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	match := func(*http.Response) bool { return true }
+	if _, _, err := c.Exchange(ctx, nil, []byte("GET / HTTP/1.1\r\n\r\n"), nil, match); err == nil {
+		t.Fatal("got an answer")
+	}
+	time.Sleep(50 * time.Millisecond)
+	if _, err := io.ReadAll(runner); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the runner sees %v", err)
+	}
+}
+
+// TestPool gives back idle connections that are sound, and no others.
+func TestPool(t *testing.T) {
+	const answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	tests := []struct {
+		give   string
+		answer string
+		after  func(net.Conn)
+		kept   bool
+	}{
+		{"sound", answer, func(net.Conn) {}, true},
+		{"closed by the runner", answer, func(c net.Conn) { _ = c.Close() }, false},
+		{"stray bytes later", answer, func(c net.Conn) { _, _ = io.WriteString(c, answer) }, false},
+		{"stray bytes at once", answer + answer, func(net.Conn) {}, false},
+		{"runner wants to close", strings.Replace(answer, "Content", "Connection: close\r\nContent", 1), func(net.Conn) {}, false},
+		{"no length", "HTTP/1.1 200 OK\r\n\r\nok", func(c net.Conn) { _ = c.Close() }, false},
+		{"idle for too long", strings.Replace(answer, "Content", "Keep-Alive: timeout=0\r\nContent", 1), func(net.Conn) {}, false},
+	}
+	for _, tt := range tests {
+		addr, accepted := listen(t)
+		p := &Pool{}
+		c, err := p.Take(t.Context(), addr, false)
+		if err != nil {
+			t.Fatal(err)
+		}
+		runner := <-accepted
+		if _, err := io.WriteString(runner, tt.answer); err != nil {
+			t.Fatal(err)
+		}
+		if tt.give == "no length" {
+			tt.after(runner)
+		}
+		resp, stop, err := c.Exchange(t.Context(), nil, []byte("GET / HTTP/1.1\r\n\r\n"), nil, func(*http.Response) bool { return true })
+		if err != nil {
+			t.Fatalf("%s: %v", tt.give, err)
+		}
+		if _, err := io.ReadAll(resp.Body); err != nil {
+			t.Fatalf("%s: %v", tt.give, err)
+		}
+		stop()
+		if c.Reusable(resp) {
+			p.Put(c)
+		}
+		tt.after(runner)
+		time.Sleep(30 * time.Millisecond)
+		again, err := p.Take(t.Context(), addr, false)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if kept := again == c; kept != tt.kept {
+			t.Errorf("%s: kept is %t", tt.give, kept)
+		}
+		again.Close()
+		_ = runner.Close()
+	}
+}
+
+// TestEvents reads whole events and tells torn ones.
+func TestEvents(t *testing.T) {
+	tests := []struct {
+		give string
+		want []string
+		err  error
+	}{
+		{"id: 1\ndata: a\n\nid: 2\ndata: b\n\n", []string{"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"}, io.EOF},
+		{"id: 1\ndata: a\n\nid: 2\nda", []string{"id: 1\ndata: a\n\n"}, ErrTorn},
+		{"id: 1\ndata: a\n\nid: 2\n", []string{"id: 1\ndata: a\n\n"}, ErrTorn},
+		{"", nil, io.EOF},
+		{"\n\nid: 7\r\ndata: x\r\n\r\n", []string{"id: 7\r\ndata: x\r\n\r\n"}, io.EOF},
+		{"id: 1\ndata: " + strings.Repeat("x", 3*bufferSize) + "\n\n", []string{"id: 1\ndata: " + strings.Repeat("x", 3*bufferSize) + "\n\n"}, io.EOF},
+	}
+	for i, tt := range tests {
+		r := NewEventReader(strings.NewReader(tt.give))
+		var got []string
+		var err error
+		for {
+			var e Event
+			if e, err = r.Next(); err != nil {
+				break
+			}
+			got = append(got, string(e.Text))
+		}
+		if len(got) != len(tt.want) || !errors.Is(err, tt.err) {
+			t.Errorf("%d: %q, %v", i, got, err)
+			continue
+		}
+		for k := range got {
+			if got[k] != tt.want[k] {
+				t.Errorf("%d: event %d is %q", i, k, got[k])
+			}
+		}
+	}
+}
+
+// FuzzEvents feeds streams of strangers.
+func FuzzEvents(f *testing.F) {
+	f.Add("id: 1\ndata: a\n\n")
+	f.Fuzz(func(_ *testing.T, text string) {
+		r := NewEventReader(strings.NewReader(text))
+		for {
+			if _, err := r.Next(); err != nil {
+				return
+			}
+		}
+	})
+}
--- a/internal/run/chiverelay/attempt.go
+++ b/internal/run/chiverelay/attempt.go
@@ -32,7 +32,7 @@
 	match := func(resp *http.Response) bool { return x.relay.Dialect.Matches(x.request.ID, resp) }
 	resp, stop, err := conn.Exchange(ctx, x.r, x.header(runner), x.body, match)
 	if err != nil {
-		conn.Close()
+		conn.Abort()
 		var unsent *chiverunner.SendError
 		if !errors.As(err, &unsent) || unsent.Sent {
 			x.mayHaveRun = true
@@ -41,10 +41,14 @@
 		return false
 	}
 	result := x.pass(ctx, runner, resp)
-	if !stop() || result != passed || !conn.Reusable(resp) {
-		conn.Close()
+	if !stop() || result != passed {
+		conn.Abort()
 		return result != failed
 	}
+	if !conn.Reusable(resp) {
+		conn.Close()
+		return true
+	}
 	x.relay.Pool.Put(conn)
 	return true
 }
