--- /dev/null
+++ b/internal/run/chiverelay/bench_test.go
@@ -0,0 +1,45 @@
+package chiverelay
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/chiveyoke/chiveyoke/internal/run/chivelog"
+)
+
+// BenchmarkRequest is a call and a stream of 12 events through the relay, with its
+// log and without.
+func BenchmarkRequest(b *testing.B) {
+	for _, kind := range []string{"any", "stream"} {
+		for _, logs := range []bool{false, true} {
+			b.Run(fmt.Sprintf("%s/logs=%t", kind, logs), func(b *testing.B) {
+				s := newSite(b, 9, 0)
+				if logs {
+					w := chivelog.NewWriter(&bytes.Buffer{})
+					ctx, cancel := context.WithCancel(context.Background())
+					defer cancel()
+					go func() { _ = w.Run(ctx) }()
+					s.relay.Log = log.NewWithOptions(w, log.Options{Prefix: "relay", Formatter: log.JSONFormatter, ReportTimestamp: true})
+				} else {
+					s.relay.Log = log.NewWithOptions(io.Discard, log.Options{Level: log.FatalLevel})
+				}
+				b.ReportAllocs()
+				for b.Loop() {
+					r := httptest.NewRequest(http.MethodPost, "/"+kind+"/x", strings.NewReader("body"))
+					r.Host = "127.0.0.1"
+					r.Header.Set("Id", "bench")
+					r.Header.Set("Key", "k")
+					s.relay.ServeHTTP(httptest.NewRecorder(), r)
+				}
+			})
+		}
+	}
+}
--- a/internal/run/chiverelay/relay_test.go
+++ b/internal/run/chiverelay/relay_test.go
@@ -105,7 +105,7 @@
 	delay  time.Duration
 }
 
-func newRunner(t *testing.T, seed uint64, faulty float64) *runner {
+func newRunner(t testing.TB, seed uint64, faulty float64) *runner {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -266,7 +266,7 @@
 	fleet   *chivefleet.Fleet
 }
 
-func newSite(t *testing.T, seed uint64, faulty float64) *site {
+func newSite(t testing.TB, seed uint64, faulty float64) *site {
 	t.Helper()
 	s := &site{}
 	config := &chivefleet.Config{
