--- a/internal/policy/chivemap/map.go
+++ b/internal/policy/chivemap/map.go
@@ -72,18 +72,26 @@
 	return nil
 }
 
-// InTurn returns the map that holds each expert once, on the ranks in turn.
-func InTurn(ranks, slots, experts, layers int) *Map {
+// Blank returns a map whose slots are all empty.
+func Blank(ranks, slots, experts, layers int) *Map {
 	m := &Map{Ranks: ranks, Slots: slots, Experts: experts}
 	for range layers {
 		layer := make([]uint16, ranks*slots)
 		for i := range layer {
 			layer[i] = Empty
 		}
+		m.Layers = append(m.Layers, layer)
+	}
+	return m
+}
+
+// InTurn returns the map that holds each expert once, on the ranks in turn.
+func InTurn(ranks, slots, experts, layers int) *Map {
+	m := Blank(ranks, slots, experts, layers)
+	for _, layer := range m.Layers {
 		for e := range experts {
 			layer[e%ranks*slots+e/ranks] = uint16(e)
 		}
-		m.Layers = append(m.Layers, layer)
 	}
 	return m
 }
--- a/internal/run/chivebalance/balancer.go
+++ b/internal/run/chivebalance/balancer.go
@@ -10,6 +10,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/chiveyoke/chiveyoke/internal/state/chiveboot"
 	"github.com/chiveyoke/chiveyoke/internal/state/chivefleet"
 	"github.com/chiveyoke/chiveyoke/internal/state/chivelease"
 	"github.com/chiveyoke/chiveyoke/internal/state/chiverank"
@@ -81,12 +82,12 @@
 	b.groups, b.rounds = map[string]*group{}, map[string]*int64{}
 	for ctx.Err() == nil {
 		if !b.Candidate() {
-			pause(ctx, watchPeriod)
+			_ = chiveboot.Sleep(ctx, watchPeriod)
 			continue
 		}
 		b.step(ctx, keeper)
 		if _, held := keeper.Held(); !held {
-			pause(ctx, watchPeriod)
+			_ = chiveboot.Sleep(ctx, watchPeriod)
 			continue
 		}
 		b.hold(ctx, keeper)
@@ -129,7 +130,7 @@
 		if now, ok := term.Held(); !ok || now != fence {
 			break
 		}
-		pause(ctx, renewPeriod)
+		_ = chiveboot.Sleep(ctx, renewPeriod)
 		b.step(ctx, keeper)
 	}
 	b.holds.Store(false)
@@ -157,15 +158,6 @@
 				delete(b.groups, name)
 			}
 		}
-		pause(ctx, roundPeriod)
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+		_ = chiveboot.Sleep(ctx, roundPeriod)
 	}
 }
--- a/internal/run/chivebalance/balancer_test.go
+++ b/internal/run/chivebalance/balancer_test.go
@@ -129,9 +129,7 @@
 	defer g.mu.Unlock()
 	m := chivemap.InTurn(ranks, places, experts, 1)
 	if g.layout != nil {
-		for i := range m.Layers[0] {
-			m.Layers[0][i] = chivemap.Empty
-		}
+		m = chivemap.Blank(ranks, places, experts, 1)
 		for k, list := range g.layout[0] {
 			for i, e := range list {
 				m.Layers[0][k*places+i] = uint16(e)
--- a/internal/run/chivebalance/group.go
+++ b/internal/run/chivebalance/group.go
@@ -237,18 +237,12 @@
 		return
 	}
 	e := f.engine
-	m := &chivemap.Map{Ranks: len(f.members), Slots: e.Places, Experts: e.Experts}
-	for range e.Sets {
-		layer := make([]uint16, m.Ranks*m.Slots)
-		for i := range layer {
-			layer[i] = chivemap.Empty
+	m := chivemap.InTurn(len(f.members), e.Places, e.Experts, e.Sets)
+	if reports[0].Map != 0 {
+		m = chivemap.Blank(len(f.members), e.Places, e.Experts, e.Sets)
+		if !g.readMap(ctx, f, m) {
+			return
 		}
-		m.Layers = append(m.Layers, layer)
-	}
-	if reports[0].Map == 0 {
-		m = chivemap.InTurn(len(f.members), e.Places, e.Experts, e.Sets)
-	} else if !g.readMap(ctx, f, m) {
-		return
 	}
 	if err := m.Check(); err != nil {
 		g.balancer.Log.Warn("Map of the group is malformed.", "group", g.name, "error", err)
--- a/internal/run/chiveentry/fresh.go
+++ b/internal/run/chiveentry/fresh.go
@@ -20,13 +20,8 @@
 	if f.Config == nil || f.Fresh(chiveboot.Now(), configWait) {
 		return f
 	}
-	lent := f.Confirmed
-	for _, p := range e.mesh.Peers() {
-		if p.Version == f.Config.Version {
-			lent = max(lent, p.Confirmed)
-		}
-	}
-	if lent == f.Confirmed {
+	lent := e.mesh.Confirmed(f.Config.Version)
+	if lent <= f.Confirmed {
 		return f
 	}
 	next := *f
--- a/internal/run/chiveentry/register.go
+++ b/internal/run/chiveentry/register.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/chiveyoke/chiveyoke/internal/state/chiveboot"
 )
 
 // register writes this entry VM's row until the store has it.
@@ -20,10 +21,7 @@
 			break
 		}
 		e.log.Warn("Entry was not registered.", "error", err)
-		select {
-		case <-ctx.Done():
-		case <-time.After(retryPause):
-		}
+		_ = chiveboot.Sleep(ctx, retryPause)
 	}
 	<-ctx.Done()
 	return nil
--- a/internal/run/chivemesh/mesh.go
+++ b/internal/run/chivemesh/mesh.go
@@ -91,6 +91,20 @@
 	return list
 }
 
+// Confirmed returns the newest moment at which a peer that is alive knew a version
+// of the configuration to be the newest; 0 where none does.
+func (m *Mesh) Confirmed(version int64) chiveboot.Moment {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var newest chiveboot.Moment
+	for _, p := range m.peers {
+		if p.alive && p.Version == version {
+			newest = max(newest, p.Confirmed)
+		}
+	}
+	return newest
+}
+
 // Run exchanges reports until the context ends.
 func (m *Mesh) Run(ctx context.Context) error {
 	addr, err := net.ResolveUDPAddr("udp4", m.Self.Mesh)
--- a/internal/state/chiveboot/clock.go
+++ b/internal/state/chiveboot/clock.go
@@ -3,6 +3,7 @@
 package chiveboot
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -40,3 +41,15 @@
 func Until(m Moment) time.Duration {
 	return m.Sub(Now())
 }
+
+// Sleep waits for a time, or returns the context's error when it ends first.
+func Sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- a/internal/state/chivefollow/follower.go
+++ b/internal/state/chivefollow/follower.go
@@ -116,18 +116,11 @@
 	f.table.Confirmed = sent
 	f.Changed(f.table)
 	if f.Pause != nil && len(page.Rows) > 0 && !whole {
-		rest(ctx, f.Pause())
+		_ = chiveboot.Sleep(ctx, f.Pause())
 	}
 	return nil
 }
 
-func rest(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // call reads the whole table the first time and its changes from then on.
 func (f *Follower) call(ctx context.Context) (page Page, whole bool, err error) {
 	if !f.loaded {
@@ -196,5 +189,5 @@
 		f.failing = true
 	}
 	f.backoff = min(max(2*f.backoff, firstBackoff), lastBackoff)
-	rest(ctx, f.backoff)
+	_ = chiveboot.Sleep(ctx, f.backoff)
 }
--- a/internal/state/chiverank/switcher.go
+++ b/internal/state/chiverank/switcher.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+
+	"github.com/chiveyoke/chiveyoke/internal/state/chiveboot"
 )
 
 const (
@@ -99,7 +101,7 @@
 // awaitPrepared waits until all ranks have copied their experts. It returns the
 // newest pass seen.
 func (s *Switcher) awaitPrepared(ctx context.Context, members []Member, epoch, version int64, copies time.Duration) (int64, error) {
-	if err := sleep(ctx, copies); err != nil {
+	if err := chiveboot.Sleep(ctx, copies); err != nil {
 		return 0, err
 	}
 	ready := make([]bool, len(members))
@@ -128,7 +130,7 @@
 		if time.Now().After(until) {
 			return 0, Error.New("%d ranks of group %s did not copy their experts", left, s.Group)
 		}
-		if err := sleep(ctx, reportPause); err != nil {
+		if err := chiveboot.Sleep(ctx, reportPause); err != nil {
 			return 0, err
 		}
 	}
@@ -258,19 +260,8 @@
 		if tries == quietTries {
 			s.Log.Warn("Order is not answered.", "group", s.Group, "rank", m.Rank, "order", o.Op, "token", o.Token, "error", err)
 		}
-		if err := sleep(ctx, orderPause); err != nil {
+		if err := chiveboot.Sleep(ctx, orderPause); err != nil {
 			return err
 		}
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
