Bind a release to the map that was read back

Ruled out: late orders and old leaseholders, which the agents' gates refuse.

Change: the order to release carries the digest of the map that was read back, the agent passes it to the engine as If-Match, and an engine that uses another map refuses with 412 and stays held. An order without a digest, from a gateway of before, releases as it did.

TestScripts/notrun: the refusal that was seen was true. The agent refused as stale while its /readyz and status said serving, and the script waited only for one endpoint to serve.

--- a/internal/bench/chivestandin/engine.go
+++ b/internal/bench/chivestandin/engine.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -236,11 +237,18 @@
 		http.Error(w, "fencing token is old", http.StatusConflict)
 		return
 	}
-	if err := e.execute(r.PathValue("step"), body); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if err := e.execute(r.PathValue("step"), r.Header.Get("If-Match"), body); err != nil {
+		status := http.StatusBadRequest
+		if errors.Is(err, errMapDiffers) {
+			status = http.StatusPreconditionFailed
+		}
+		http.Error(w, err.Error(), status)
 	}
 }
 
+// errMapDiffers is returned for an order on the condition of a map that is not in use.
+var errMapDiffers = errors.New("another expert map is in use")
+
 // acceptFencingToken reports whether an order with a fencing token is to be carried
 // out, and records the token. It refuses a token lower than the highest one seen,
 // unless the engine ignores fencing.
@@ -254,8 +262,9 @@
 	return true
 }
 
-// execute carries out a step of a map switch. An unknown step has no effect.
-func (e *engine) execute(step string, body []byte) error {
+// execute carries out a step of a map switch. An unknown step has no effect. If
+// ifMatch is not empty, it is the quoted digest of the map that must be in use.
+func (e *engine) execute(step, ifMatch string, body []byte) error {
 	if step == "stage" || step == "set" {
 		if err := e.stageMap(body); err != nil {
 			return err
@@ -263,6 +272,9 @@
 	}
 	e.group.mu.Lock()
 	defer e.group.mu.Unlock()
+	if ifMatch != "" && ifMatch != strconv.Quote(e.mapDigest) {
+		return errMapDiffers
+	}
 	switch step {
 	case "hold":
 		e.held = true
--- a/internal/peer/chiveengine/rank.go
+++ b/internal/peer/chiveengine/rank.go
@@ -36,31 +36,37 @@
 
 // Hold pauses the ranks before their next step.
 func (c *Client) Hold(ctx context.Context, fence uint64) error {
-	return c.postOrder(ctx, "/rank/hold", fence, nil)
+	return c.postOrder(ctx, "/rank/hold", fence, "", nil)
 }
 
 // StageMap loads the weights of an expert map without using them yet.
 func (c *Client) StageMap(ctx context.Context, fence uint64, expertMap []byte) error {
-	return c.postOrder(ctx, "/rank/stage", fence, expertMap)
+	return c.postOrder(ctx, "/rank/stage", fence, "", expertMap)
 }
 
 // SetMap replaces the expert map in use. The ranks must be held.
 func (c *Client) SetMap(ctx context.Context, fence uint64, expertMap []byte) error {
-	return c.postOrder(ctx, "/rank/set", fence, expertMap)
+	return c.postOrder(ctx, "/rank/set", fence, "", expertMap)
 }
 
-// Release resumes the ranks after Hold.
-func (c *Client) Release(ctx context.Context, fence uint64) error {
-	return c.postOrder(ctx, "/rank/release", fence, nil)
+// Release resumes the ranks after Hold if they use the map with the given digest.
+// Otherwise the engine refuses and they stay paused. An empty digest resumes them
+// whatever map they use.
+func (c *Client) Release(ctx context.Context, fence uint64, mapDigest string) error {
+	return c.postOrder(ctx, "/rank/release", fence, mapDigest, nil)
 }
 
-// postOrder sends an order with a fencing token.
-func (c *Client) postOrder(ctx context.Context, path string, fence uint64, body []byte) error {
+// postOrder sends an order with a fencing token. If mapDigest is not empty, the
+// engine refuses the order while it uses another map.
+func (c *Client) postOrder(ctx context.Context, path string, fence uint64, mapDigest string, body []byte) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+path, bytes.NewReader(body))
 	if err != nil {
 		return Error.Wrap(err)
 	}
 	req.Header.Set(headerFencingToken, strconv.FormatUint(fence, 10))
+	if mapDigest != "" {
+		req.Header.Set("If-Match", strconv.Quote(mapDigest))
+	}
 	_, err = c.do(req)
 	return err
 }
--- a/internal/peer/chivelink/status.go
+++ b/internal/peer/chivelink/status.go
@@ -21,7 +21,8 @@
 	Node Node `cbor:"node" json:"node"`
 	// ConfigVersion is the version of the configuration in force, or 0 before the first.
 	ConfigVersion uint64 `cbor:"version" json:"version"`
-	// State is "starting", "serving" or "leaving".
+	// State is "starting", "serving", "stale" or "leaving". A stale agent refuses
+	// calls because it has had no sync for long.
 	State string `cbor:"state" json:"state"`
 	// Load is nil in the status of a gateway.
 	Load   *Load             `cbor:"load,omitempty" json:"load,omitempty"`
--- a/internal/run/chiveagent/agent.go
+++ b/internal/run/chiveagent/agent.go
@@ -146,6 +146,12 @@
 	return st
 }
 
+// isStale reports whether the agent refuses calls because its configuration may be
+// outdated.
+func (a *Agent) isStale() bool {
+	return time.Since(a.syncer.LastSync()) > maxSyncAge
+}
+
 // state returns the agent's state as chivelink.Status reports it.
 func (a *Agent) state() string {
 	switch {
@@ -153,6 +159,8 @@
 		return "leaving"
 	case a.syncer.Config() == nil:
 		return "starting"
+	case a.isStale():
+		return "stale"
 	}
 	return chivedaemon.StateServing
 }
--- a/internal/run/chiveagent/control.go
+++ b/internal/run/chiveagent/control.go
@@ -142,7 +142,7 @@
 	if c.stopping {
 		return chiveverdict.NotRunf(chiveverdict.CodeDrain, minRetryAfter, "endpoint %s is stopping", name)
 	}
-	if c.config == nil || time.Since(c.agent.syncer.LastSync()) > maxSyncAge {
+	if c.config == nil || c.agent.isStale() {
 		return chiveverdict.NotRunf(chiveverdict.CodeStale, minRetryAfter, "endpoint %s has no fresh configuration", name)
 	}
 	e, _, ok := c.config.Endpoint(name)
--- a/internal/run/chiveagent/control_test.go
+++ b/internal/run/chiveagent/control_test.go
@@ -16,6 +16,7 @@
 	"github.com/chiveyoke/chiveyoke/internal/peer/chiveengine"
 	"github.com/chiveyoke/chiveyoke/internal/peer/chivelink"
 	"github.com/chiveyoke/chiveyoke/internal/policy/chiveverdict"
+	"github.com/chiveyoke/chiveyoke/internal/run/chivedaemon"
 	"github.com/chiveyoke/chiveyoke/internal/run/chivesetting"
 	"github.com/chiveyoke/chiveyoke/internal/run/chivesync"
 	"github.com/chiveyoke/chiveyoke/internal/state/chiveconf"
@@ -186,7 +187,13 @@
 			for range rapid.IntRange(0, 10).Draw(t, "before") {
 				enqueue()
 			}
+			if got := a.state(); got != chivedaemon.StateServing {
+				t.Fatalf("%s: state before the close is %q, want %q", c.name, got, chivedaemon.StateServing)
+			}
 			c.close(a, a.syncer.Config().RawSheet)
+			if got := a.state(); c.code == chiveverdict.CodeStale && got != "stale" {
+				t.Fatalf("%s: state is %q, want stale", c.name, got)
+			}
 			before := len(calls)
 			for range rapid.IntRange(1, 5).Draw(t, "after") {
 				enqueue()
--- a/internal/run/chiveagent/order.go
+++ b/internal/run/chiveagent/order.go
@@ -52,7 +52,7 @@
 	case chiveswitch.StepSet:
 		return a.engine.SetMap(ctx, o.Token.Fence, o.Body)
 	case chiveswitch.StepRelease:
-		return a.engine.Release(ctx, o.Token.Fence)
+		return a.engine.Release(ctx, o.Token.Fence, o.Map)
 	}
 	rank, err := a.engine.RankStatus(ctx)
 	if err != nil {
--- a/internal/state/chiveswitch/coordinator.go
+++ b/internal/state/chiveswitch/coordinator.go
@@ -29,7 +29,8 @@
 // Coordinator switches the expert map of one group. All ranks of a group
 // advance in lockstep, so no forward pass begins while any rank is held. The map is
 // set while all ranks are held, and they are released only after all have read back
-// the new map. A coordinator that stops midway may leave ranks held, which stalls
+// the new map. The release names that map, because a rank that restarts after it was
+// read back has lost it and must stay held. A coordinator that stops midway may leave ranks held, which stalls
 // the group but never lets a forward pass use different maps. The next leaseholder
 // starts over.
 type Coordinator struct {
@@ -99,7 +100,7 @@
 		{Step: StepHold},
 		{Step: StepSet, Map: digest, Body: body},
 		{Step: StepRead},
-		{Step: StepRelease},
+		{Step: StepRelease, Map: digest},
 	}
 	for _, o := range orders {
 		if err := c.checkLease(probe.Token.Fence); err != nil {
@@ -126,10 +127,11 @@
 	if step != StepHold {
 		return err
 	}
-	if _, settled := probe.SettledMap(); !settled || c.checkLease(probe.Token.Fence) != nil {
+	digest, settled := probe.SettledMap()
+	if !settled || c.checkLease(probe.Token.Fence) != nil {
 		return err
 	}
-	_, _ = c.broadcast(ctx, Order{Step: StepRelease, Token: probe.Token}, probe)
+	_, _ = c.broadcast(ctx, Order{Step: StepRelease, Token: probe.Token, Map: digest}, probe)
 	return err
 }
 
--- a/internal/state/chiveswitch/coordinator_test.go
+++ b/internal/state/chiveswitch/coordinator_test.go
@@ -160,6 +160,10 @@
 	case StepSet:
 		r.expertMap = o.Map
 	case StepRelease:
+		if o.Map != "" && r.expertMap != o.Map {
+			reply.Refused = "rank uses another map"
+			return reply
+		}
 		r.held = false
 	}
 	reply.Map, reply.Held, reply.Token = r.expertMap, r.held, g.Token()
@@ -402,3 +406,24 @@
 		})
 	})
 }
+
+// TestRankRestartBeforeRelease guards against releasing a rank that has lost its
+// map: a rank restarts after the map was read back from it, and starts held
+// because its peers use a map, before the order to release it arrives.
+func TestRankRestartBeforeRelease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		chiveseed.Check(t, func(t *rapid.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer func() {
+				cancel()
+				synctest.Wait()
+			}()
+			s := newSimulation(t, false)
+			s.begin(ctx, fencedSwitch)
+			s.deliverUntil(StepRelease)
+			s.restartRank(rapid.IntRange(0, simulatedRanks-1).Draw(t, "rank"))
+			s.deliverAll()
+			s.settle(ctx, fencedSwitch)
+		})
+	})
+}
--- a/internal/state/chiveswitch/order.go
+++ b/internal/state/chiveswitch/order.go
@@ -21,7 +21,7 @@
 	StepSet Step = "set"
 	// StepRead reads the state of the held ranks back.
 	StepRead Step = "read"
-	// StepRelease ends the hold.
+	// StepRelease ends the hold of ranks that use the map of the order.
 	StepRelease Step = "release"
 )
 
@@ -49,7 +49,8 @@
 	// Boot is the agent's incarnation as reported by its reply to the probe; 0 in
 	// a probe.
 	Boot uint64 `cbor:"boot,omitempty"`
-	// Map is the digest of the expert map and Body its encoding.
+	// Map is the digest of the expert map and Body its encoding. A release has the
+	// digest of the map that the ranks must use, or none if they have no map.
 	Map  string `cbor:"map,omitempty"`
 	Body []byte `cbor:"body,omitempty"`
 }
