Keep one map in a pass on ranks that ignore fencing tokens

Cause: rollbacks relied on ranks that refuse lower tokens. Where fencing-enabled is false (the further deployment) a late arm or go, or a former holder that goes on, could split a group. Beside it, with fencing too: a rollback held the group before the last held pass, so that the pass of a complete change could begin while ranks were being disarmed.

Ruled out: sequence and expected-revision instead of tokens.

Change: a rollback holds the group before the very next pass, by another rank than the rounds before; it prepares the map in use under a new version on every rank, which an armed rank refuses and after which an older arm is refused; it releases all holds. A holder stops when a rank reports a version of a later one. The experts of all ranks are read in parallel.

--- a/internal/policy/chivemap/map.go
+++ b/internal/policy/chivemap/map.go
@@ -99,6 +99,44 @@
 	return m
 }
 
+// NewFromLayout returns a map in which the ranks hold the experts that layout lists
+// per layer and rank. slots is the number of slots of each rank. It returns an error
+// if the layout does not fit the slots or the map fails Check.
+func NewFromLayout(slots, experts int, layout [][][]int) (*Map, error) {
+	if len(layout) == 0 {
+		return nil, errors.New("layout has no layer")
+	}
+	m := NewEmpty(len(layout[0]), slots, experts, len(layout))
+	for l, ranks := range layout {
+		if len(ranks) != m.Ranks {
+			return nil, fmt.Errorf("layer %d: has %d ranks, want %d", l, len(ranks), m.Ranks)
+		}
+		for r, list := range ranks {
+			if len(list) > slots {
+				return nil, fmt.Errorf("layer %d: rank %d holds %d experts, more than %d slots", l, r, len(list), slots)
+			}
+			for i, e := range list {
+				if e < 0 || e >= experts {
+					return nil, fmt.Errorf("layer %d: expert %d does not exist", l, e)
+				}
+				m.Layers[l][r*slots+i] = uint16(e)
+			}
+		}
+	}
+	return m, m.Check()
+}
+
+// Layout returns the experts that the ranks hold, per layer and rank.
+func (m *Map) Layout() [][][]int {
+	layout := make([][][]int, len(m.Layers))
+	for l := range layout {
+		for r := range m.Ranks {
+			layout[l] = append(layout[l], m.RankExperts(l, r))
+		}
+	}
+	return layout
+}
+
 // RankExperts returns the experts that a rank holds in a layer, in the order of
 // its slots.
 func (m *Map) RankExperts(layer, rank int) []int {
--- a/internal/run/chivebalance/group.go
+++ b/internal/run/chivebalance/group.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sort"
 	"sync"
 	"time"
@@ -195,10 +196,11 @@
 		tokenSeq = new(int64)
 		b.tokenSeqs[name] = tokenSeq
 	}
-	return &group{
+	g := &group{
 		name: name, balancer: b, term: term, slowdowns: map[int]float64{}, lastCounts: map[int]chiverank.ExpertCounts{},
-		switcher: &chiverank.Switcher{Ranks: b.Engine, Lease: term, Log: b.Log, Group: name, TokenSeq: tokenSeq},
 	}
+	g.switcher = &chiverank.Switcher{Ranks: b.Engine, Lease: term, Log: b.Log, Group: name, TokenSeq: tokenSeq, CurrentLayout: g.readLayout}
+	return g
 }
 
 // handleRankError logs a failed change or recovery and marks the map as unknown,
@@ -266,15 +268,15 @@
 	// Version 0 means that no map was set yet: experts are assigned round-robin.
 	m := chivemap.NewRoundRobin(len(ms.members), e.SlotsPerRank, e.Experts, e.Layers)
 	if reports[0].Map != 0 {
-		m = chivemap.NewEmpty(len(ms.members), e.SlotsPerRank, e.Experts, e.Layers)
-		if !g.readExperts(ctx, ms, m) {
+		layout, err := g.readLayout(ctx, ms.members)
+		if err == nil {
+			m, err = chivemap.NewFromLayout(e.SlotsPerRank, e.Experts, layout)
+		}
+		if err != nil {
+			g.balancer.Log.Warn("Cannot read the expert map in use.", "group", g.name, "error", err)
 			return
 		}
 	}
-	if err := m.Check(); err != nil {
-		g.balancer.Log.Warn("Expert map read from the ranks is malformed.", "group", g.name, "error", err)
-		return
-	}
 	g.current, g.epoch, g.version, g.pendingReports = m, reports[0].Epoch, reports[0].Map, 0
 	g.slowdowns, g.stepTimes, g.pollAll = map[int]float64{}, chivelimit.StepTimeDetector{}, true
 	g.idleRounds = 0
@@ -282,27 +284,33 @@
 	g.balancer.Log.Info("Loaded the expert map of the group.", "group", g.name, "epoch", g.epoch, "version", reports[0].Map)
 }
 
-// readExperts fills a map with the experts that every rank holds. It reports
-// whether all could be read and fit the map.
-func (g *group) readExperts(ctx context.Context, ms *membership, m *chivemap.Map) bool {
-	for _, member := range ms.members {
-		rankCtx, cancel := context.WithTimeout(ctx, rankReadTimeout)
-		held, err := g.balancer.Engine.Experts(rankCtx, member)
-		cancel()
-		if err != nil || len(held.Experts) != len(m.Layers) {
-			g.balancer.Log.Warn("Cannot read the experts of a rank, or their layers do not match the service.", "group", g.name, "rank", member.Rank, "error", err)
-			return false
+// readLayout reads the experts that every rank holds, per layer and rank.
+func (g *group) readLayout(ctx context.Context, members []chiverank.Member) ([][][]int, error) {
+	held := make([]chiverank.HeldExperts, len(members))
+	failures := make([]error, len(members))
+	var readers sync.WaitGroup
+	for i, m := range members {
+		readers.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, rankReadTimeout)
+			defer cancel()
+			held[i], failures[i] = g.balancer.Engine.Experts(ctx, m)
+		})
+	}
+	readers.Wait()
+	layout := make([][][]int, len(held[0].Experts))
+	for i, h := range held {
+		if failures[i] != nil {
+			return nil, fmt.Errorf("experts of rank %d: %w", members[i].Rank, failures[i])
 		}
-		for l, list := range held.Experts {
-			if len(list) > m.Slots {
-				return false
-			}
-			for i, e := range list {
-				m.Layers[l][member.Rank*m.Slots+i] = uint16(e)
-			}
+		if len(h.Experts) != len(layout) || h.Version != held[0].Version {
+			return nil, fmt.Errorf("rank %d has %d layers of version %d, rank %d has %d of version %d",
+				members[i].Rank, len(h.Experts), h.Version, members[0].Rank, len(layout), held[0].Version)
+		}
+		for l, experts := range h.Experts {
+			layout[l] = append(layout[l], experts)
 		}
 	}
-	return true
+	return layout, nil
 }
 
 // rankSlowdowns returns the slowdown of every rank, at least 1, or nil if no rank is
@@ -465,15 +473,9 @@
 // applyMap makes all ranks switch to a map. before and after are the forecast
 // relative step times under the current and the next map, for the log.
 func (g *group) applyMap(ctx context.Context, ms *membership, next *chivemap.Map, before, after float64) {
-	layout := make([][][]int, len(next.Layers))
-	for l := range layout {
-		for k := range next.Ranks {
-			layout[l] = append(layout[l], next.RankExperts(l, k))
-		}
-	}
 	moves := g.current.Moves(next)
 	start := time.Now()
-	version, err := g.switcher.Switch(ctx, ms.members, g.epoch, layout, ms.engine.ExpertCopyTime)
+	version, err := g.switcher.Switch(ctx, ms.members, g.epoch, next.Layout(), ms.engine.ExpertCopyTime)
 	if err != nil {
 		g.handleRankError("Expert map could not be changed.", err)
 		return
--- a/internal/state/chiverank/switcher.go
+++ b/internal/state/chiverank/switcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,6 +40,9 @@
 	// tokenSeqBits is the number of low bits of a token that hold TokenSeq; the
 	// bits above hold the fencing token of the lease.
 	tokenSeqBits = 20
+	// holderStride separates the ranks that hold a group in the first rounds of
+	// successive leaseholders.
+	holderStride = 3
 )
 
 // Switcher changes the expert map of one group. A pass must never begin while two
@@ -46,6 +50,12 @@
 // change until every rank has confirmed that it is armed. A switcher that stops
 // in between leaves the group held; the next leaseholder rolls the change back
 // with Recover.
+//
+// An order that was not answered may be carried out seconds later, and an earlier
+// leaseholder may still send orders. Not all ranks check tokens, so that neither may
+// do harm without them: each round holds the group by another rank, so that a late Go
+// of an earlier round releases another hold, and a rollback prepares a newer version
+// on every rank, so that a late Arm finds its version no longer prepared.
 type Switcher struct {
 	Ranks Ranks
 	Lease Lease
@@ -55,6 +65,8 @@
 	// TokenSeq counts the tokens issued under one fencing token of the lease. It
 	// must outlive the switcher if the same fencing token may be used again.
 	TokenSeq *int64
+	// CurrentLayout returns the experts that the ranks use, per layer and rank.
+	CurrentLayout func(ctx context.Context, members []Member) ([][][]int, error)
 }
 
 // nextToken returns a token above all earlier ones. It fails if the lease is not
@@ -88,25 +100,38 @@
 		return 0, err
 	}
 	order.Map = nil
-	pass, err = s.holdAhead(ctx, members[0], order, pass)
+	holder := roundHolder(members, token, nil)
+	pass, err = s.holdAhead(ctx, holder, order, pass)
 	if err != nil {
 		return 0, err
 	}
 	order.Op, order.Pass = Arm, pass
 	if err := s.orderAll(ctx, members, order, confirmTimeout); err != nil {
 		s.Log.Warn("Rolling back the map change: a rank could not be armed.", "group", s.Group, "version", token, "pass", pass, "error", err)
-		if rollbackErr := s.rollback(ctx, members, epoch, token, pass); rollbackErr != nil {
-			return 0, fmt.Errorf("%w; rollback failed: %w", err, rollbackErr)
-		}
-		return 0, err
+		_, _, rollbackErr := s.Recover(ctx, members)
+		return 0, errors.Join(err, rollbackErr)
 	}
 	order.Op = Go
-	if err := s.orderUntilConfirmed(ctx, members[0], order, confirmTimeout); err != nil && !errors.Is(err, ErrConflict) {
+	if err := s.orderUntilConfirmed(ctx, holder, order, confirmTimeout); err != nil && !errors.Is(err, ErrConflict) {
 		return 0, err
 	}
 	return token, nil
 }
 
+// roundHolder returns the rank that holds the group in the round of a token.
+// Successive tokens have different ranks. It avoids the given ranks if the group
+// has others.
+func roundHolder(members []Member, token int64, avoid []Member) Member {
+	n := int64(len(members))
+	first := (token>>tokenSeqBits*holderStride + token) % n
+	for i := range n {
+		if m := members[(first+i)%n]; !slices.Contains(avoid, m) {
+			return m
+		}
+	}
+	return members[first]
+}
+
 // awaitPrepared waits until all ranks have copied the experts of a version. It
 // returns the highest pass reported. It fails when the group is not open in the
 // epoch, or when a rank is not prepared in time.
@@ -167,37 +192,103 @@
 	return 0, Error.New("group %s could not be held: every hold was refused", s.Group)
 }
 
-// rollback disarms all ranks and releases the group. Every rank must confirm,
-// because a rank that did not could still carry out a delayed Arm; until then the
-// group stays held.
-func (s *Switcher) rollback(ctx context.Context, members []Member, epoch, version, pass int64) error {
+// rollback stops the group, disarms all ranks and releases every hold. reports are
+// the reports of all ranks. Every rank must confirm, because a rank that did not
+// could still carry out a delayed Arm; until then the group stays held. It fails if
+// the group has moved on since the reports.
+func (s *Switcher) rollback(ctx context.Context, members []Member, reports []*Report) error {
 	token, err := s.nextToken()
 	if err != nil {
 		return err
 	}
-	o := Order{Op: Hold, Token: token, Epoch: epoch, Version: version, Pass: pass}
-	// Confirm the hold under the new token first, so that no older order can
-	// release the group while ranks are being disarmed.
-	if err := s.orderUntilConfirmed(ctx, members[0], o, confirmTimeout); err != nil {
+	var pass int64
+	var holders []Member
+	for i, r := range reports {
+		pass = max(pass, r.Pass)
+		if r.Held >= 0 {
+			holders = append(holders, members[i])
+		}
+	}
+	// The pass must be the next one: before a later one, the group could begin the
+	// pass of a change that is being rolled back.
+	holder := roundHolder(members, token, holders)
+	o := Order{Op: Hold, Token: token, Epoch: reports[0].Epoch, Pass: pass + 1}
+	if err := s.orderUntilConfirmed(ctx, holder, o, confirmTimeout); err != nil {
 		return err
 	}
-	o.Op = Disarm
-	if err := s.orderAll(ctx, members, o, confirmTimeout); err != nil {
+	if o.Map, err = s.CurrentLayout(ctx, members); err != nil {
 		return err
 	}
-	o.Op = Go
-	if err := s.orderUntilConfirmed(ctx, members[0], o, confirmTimeout); err != nil && !errors.Is(err, ErrConflict) {
+	if err := s.forAll(members, func(m Member) error { return s.disarm(ctx, m, o) }); err != nil {
 		return err
 	}
-	return nil
+	o.Op, o.Map = Go, nil
+	return s.forAll(members, func(m Member) error {
+		release := o
+		if m != holder {
+			release.Pass = reports[m.Rank].Held
+		}
+		if release.Pass < 0 {
+			return nil
+		}
+		err := s.orderUntilConfirmed(ctx, m, release, confirmTimeout)
+		if errors.Is(err, ErrConflict) {
+			return nil
+		}
+		return err
+	})
+}
+
+// disarm disarms a rank and prepares the map of o on it, under the token of o as the
+// version. A rank refuses that while it is armed, and afterwards no longer arms an
+// older version, so that both are repeated until the rank reports the new version.
+func (s *Switcher) disarm(ctx context.Context, m Member, o Order) error {
+	deadline := time.Now().Add(confirmTimeout)
+	prepare := o
+	prepare.Op, prepare.Version = Prepare, o.Token
+	for {
+		if o.Version != 0 {
+			o.Op, o.Map = Disarm, nil
+			if err := s.orderUntilConfirmed(ctx, m, o, confirmTimeout); err != nil {
+				return err
+			}
+		}
+		err := s.orderUntilConfirmed(ctx, m, prepare, confirmTimeout)
+		if err != nil && !errors.Is(err, ErrConflict) {
+			return err
+		}
+		r, reportErr := s.Ranks.Report(ctx, m)
+		switch {
+		case reportErr != nil:
+		case s.superseded(r):
+			return fmt.Errorf("%w: the rank has a map of a later leaseholder", ErrFenced)
+		case r.Prepared == prepare.Version && r.Armed == 0:
+			return nil
+		default:
+			o.Version = r.Armed
+		}
+		if time.Now().After(deadline) {
+			return Error.New("rank %d of group %s could not be disarmed in time: %v", m.Rank, s.Group, errors.Join(err, reportErr))
+		}
+		if err := chiveclock.Sleep(ctx, orderRetryPause); err != nil {
+			return err
+		}
+	}
+}
+
+// superseded reports whether a rank has a map of a later leaseholder.
+func (s *Switcher) superseded(r Report) bool {
+	fence, _ := s.Lease.Held()
+	return max(r.Map, r.Prepared, r.Armed)>>tokenSeqBits > int64(fence)
 }
 
 // Recover rolls back a change that another leaseholder left unfinished. It
 // returns the reports of all ranks and whether the group is settled: open, all
-// ranks in one epoch, none held or armed. It fails if a rank does not report.
+// ranks in one epoch, none held or armed. It fails if a rank does not report, or has
+// a map of a later leaseholder.
 func (s *Switcher) Recover(ctx context.Context, members []Member) (settled bool, reports []*Report, err error) {
 	reports = s.readReports(ctx, members, make([]bool, len(members)))
-	held, armed := int64(-1), int64(0)
+	held, mixed := false, false
 	for i, r := range reports {
 		if r == nil {
 			return false, reports, Error.New("no report from rank %d of group %s", members[i].Rank, s.Group)
@@ -205,13 +296,17 @@
 		if !r.Open || r.Epoch != reports[0].Epoch {
 			return false, reports, nil
 		}
-		held, armed = max(held, r.Held), max(armed, r.Armed)
+		if s.superseded(*r) {
+			return false, reports, fmt.Errorf("rank %d of group %s: %w: it has a map of a later leaseholder", members[i].Rank, s.Group, ErrFenced)
+		}
+		held = held || r.Held >= 0
+		mixed = mixed || r.Armed != reports[0].Armed
 	}
-	if held >= 0 {
-		s.Log.Warn("Group is held by an unfinished map change, rolling back.", "group", s.Group, "pass", held, "armed", armed)
-		return false, reports, s.rollback(ctx, members, reports[0].Epoch, armed, held)
+	if held || mixed {
+		s.Log.Warn("Group is held by an unfinished map change, rolling back.", "group", s.Group, "pass", reports[0].Pass, "armed", reports[0].Armed)
+		return false, reports, s.rollback(ctx, members, reports)
 	}
-	return armed == 0, reports, nil
+	return reports[0].Armed == 0, reports, nil
 }
 
 // readReports reads the reports of the ranks that are not skipped. The entry of a
@@ -241,10 +336,16 @@
 // orderAll sends an order to all ranks in parallel and waits until each has
 // confirmed it. It returns the error of the lowest rank that failed.
 func (s *Switcher) orderAll(ctx context.Context, members []Member, o Order, timeout time.Duration) error {
+	return s.forAll(members, func(m Member) error { return s.orderUntilConfirmed(ctx, m, o, timeout) })
+}
+
+// forAll calls f for all ranks in parallel. It returns the error of the lowest rank
+// that failed.
+func (s *Switcher) forAll(members []Member, f func(Member) error) error {
 	errs := make([]error, len(members))
 	var senders sync.WaitGroup
 	for i, m := range members {
-		senders.Go(func() { errs[i] = s.orderUntilConfirmed(ctx, m, o, timeout) })
+		senders.Go(func() { errs[i] = f(m) })
 	}
 	senders.Wait()
 	for i, err := range errs {
--- a/internal/state/chiverank/switcher_test.go
+++ b/internal/state/chiverank/switcher_test.go
@@ -34,6 +34,10 @@
 	// lossRate is the fraction of orders that are not answered, and are applied
 	// late or never.
 	lossRate float64
+	// unfenced makes ranks ignore tokens.
+	unfenced bool
+	// pauseRate is the fraction of orders before which their sender stands still.
+	pauseRate float64
 	// changes counts the switches of rank 0.
 	changes int
 }
@@ -85,7 +89,11 @@
 	g.mu.Lock()
 	lost, late := g.rng.Float64() < g.lossRate, 2*time.Second+time.Duration(g.rng.Int64N(int64(10*time.Second)))
 	never := g.rng.Float64() < 0.3
+	paused, pause := g.rng.Float64() < g.pauseRate, time.Duration(g.rng.Int64N(int64(8*time.Second)))
 	g.mu.Unlock()
+	if paused {
+		time.Sleep(pause)
+	}
 	if !lost {
 		time.Sleep(2 * time.Millisecond)
 		return g.apply(m, o)
@@ -101,13 +109,13 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	r := &g.ranks[m.Rank]
-	if o.Token < r.highestToken {
+	if o.Token < r.highestToken && !g.unfenced {
 		return ErrFenced
 	}
 	if o.Epoch != g.epoch {
 		return ErrConflict
 	}
-	r.highestToken = o.Token
+	r.highestToken = max(r.highestToken, o.Token)
 	switch o.Op {
 	case Prepare:
 		return g.prepare(r, o)
@@ -190,7 +198,8 @@
 
 func newSwitcher(g *fakeGroup, fence uint64) (*Switcher, *fakeLease) {
 	lease := &fakeLease{fence: fence}
-	return &Switcher{Ranks: g, Lease: lease, Log: log.New(io.Discard), Group: "g", TokenSeq: new(int64)}, lease
+	layout := func(context.Context, []Member) ([][][]int, error) { return nil, nil }
+	return &Switcher{Ranks: g, Lease: lease, Log: log.New(io.Discard), Group: "g", TokenSeq: new(int64), CurrentLayout: layout}, lease
 }
 
 // TestSwitch guards against passes with different maps and against groups that
@@ -202,24 +211,33 @@
 		lossRate float64
 		// replace starts a new switcher while the previous one may be in a change.
 		replace bool
+		// pauseRate is the fraction of orders before which the switcher is suspended.
+		pauseRate float64
 	}{
-		{"no faults", 0, false},
-		{"orders are lost", 0.35, false},
-		{"switchers are replaced", 0, true},
-		{"orders are lost and switchers replaced", 0.35, true},
+		{"no faults", 0, false, 0},
+		{"orders are lost", 0.35, false, 0},
+		{"switchers are replaced", 0, true, 0},
+		{"orders are lost and switchers replaced", 0.35, true, 0},
+		{"switchers are suspended and replaced", 0, true, 0.1},
+		{"orders are lost and switchers suspended and replaced", 0.35, true, 0.1},
 	}
 	for _, tt := range tests {
-		t.Run(tt.give, func(t *testing.T) {
-			for seed := range uint64(25) {
-				synctest.Test(t, func(t *testing.T) { testSwitches(t, seed, tt.lossRate, tt.replace) })
-			}
-		})
+		for _, unfenced := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, unfenced %t", tt.give, unfenced), func(t *testing.T) {
+				for seed := range uint64(25) {
+					synctest.Test(t, func(t *testing.T) {
+						g := newFakeGroup(t, seed, 5, tt.lossRate)
+						g.unfenced, g.pauseRate = unfenced, tt.pauseRate
+						testSwitches(t, g, seed, tt.replace)
+					})
+				}
+			})
+		}
 	}
 }
 
-func testSwitches(t *testing.T, seed uint64, lossRate float64, replace bool) {
-	const ranks = 5
-	g := newFakeGroup(t, seed, ranks, lossRate)
+func testSwitches(t *testing.T, g *fakeGroup, seed uint64, replace bool) {
+	ranks := len(g.ranks)
 	draw := rand.New(rand.NewPCG(seed, 2))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
