Spread the copies of a map change over the ranks

Change: a plan limits the experts that a rank copies over all layers, to those that copy within 200 ms, the most skewed layer first; ranks at their limit are passed over when targets are sought.

--- a/internal/bench/chivemodel/group.go
+++ b/internal/bench/chivemodel/group.go
@@ -79,6 +79,9 @@
 	// MaxNewExperts is the maximum number of experts per layer that a change of the
 	// expert map adds to a rank; 0 keeps the initial map.
 	MaxNewExperts int
+	// MaxCopies is the maximum number of experts that a change of the expert map adds
+	// to a rank in all layers; 0 means no limit.
+	MaxCopies int
 	// Tolerance is the tolerance of the map planner.
 	Tolerance float64
 	// DetectionDelay is the time from a shift of popularity until the planner
@@ -239,7 +242,7 @@
 	if r.nextMap != nil || r.policy.MaxNewExperts == 0 || r.now < r.planAfter {
 		return
 	}
-	planner := chivemap.Planner{Tolerance: r.policy.Tolerance, MaxNewExperts: r.policy.MaxNewExperts, Horizon: 400, MoveCost: 0.25}
+	planner := chivemap.Planner{Tolerance: r.policy.Tolerance, MaxNewExperts: r.policy.MaxNewExperts, MaxCopies: r.policy.MaxCopies, Horizon: 400, MoveCost: 0.25}
 	next := planner.Plan(r.currentMap, r.expertLoads)
 	if next == nil || next.StepSkew(r.expertLoads) > 0.85*r.currentMap.StepSkew(r.expertLoads) {
 		return
--- a/internal/bench/chivemodel/group_test.go
+++ b/internal/bench/chivemodel/group_test.go
@@ -51,6 +51,19 @@
 	}
 }
 
+// TestCopiesSpreadOverRanks checks that under heavy load, with popularity that shifts
+// every four seconds, changes whose copies are spread over all ranks, so that each
+// takes effect soon, serve callers better than changes limited layer by layer.
+func TestCopiesSpreadOverRanks(t *testing.T) {
+	l := newLoad(74)
+	layered := simulateSeeds(l, Policy{MaxNewExperts: 1, Tolerance: 0.25, DetectionDelay: 300 * time.Millisecond})
+	spread := simulateSeeds(l, Policy{MaxNewExperts: 1, MaxCopies: 1, Tolerance: 0.25, DetectionDelay: 300 * time.Millisecond})
+	t.Logf("utility: limited by layer %.3f (%d copies), spread over ranks %.3f (%d copies)", layered.Utility(), layered.ExpertCopies, spread.Utility(), spread.ExpertCopies)
+	if spread.Utility() < layered.Utility()+0.02 {
+		t.Errorf("utility with spread copies is %.3f, with a limit by layer %.3f", spread.Utility(), layered.Utility())
+	}
+}
+
 // TestOverload checks that with unbalanced experts and more requests than the group
 // can serve, a limit by pauses yields at least as many answers on time as filling
 // all slots.
--- a/internal/policy/chivemap/planner.go
+++ b/internal/policy/chivemap/planner.go
@@ -1,5 +1,10 @@
 package chivemap
 
+import (
+	"cmp"
+	"slices"
+)
+
 // Planner computes the next map of a group from its present map and loads. Its
 // zero value uses the defaults.
 type Planner struct {
@@ -12,6 +17,10 @@
 	// MaxNewExperts limits the experts that one plan adds to a rank in a layer; 0
 	// means no limit.
 	MaxNewExperts int
+	// MaxCopies limits the experts that one plan adds to a rank in all layers
+	// together; 0 means no limit. A rank copies one expert after the other, so this
+	// bounds the time until the plan can take effect.
+	MaxCopies int
 	// Slowdowns holds the relative step time of each rank, where 1 is a rank that
 	// is as fast as the others; nil means that all ranks are equally fast.
 	Slowdowns []float64
@@ -46,16 +55,14 @@
 // layer changes only if the step time saved over the horizon exceeds the cost of
 // its moves, and by as few slots as bring it near the lower bound.
 func (p Planner) Plan(now *Map, loads Loads) *Map {
-	next := &Map{Ranks: now.Ranks, Slots: now.Slots, Experts: now.Experts}
+	next := &Map{Ranks: now.Ranks, Slots: now.Slots, Experts: now.Experts, Layers: slices.Clone(now.Layers)}
 	changed := false
-	for i, layer := range now.Layers {
-		improved := p.planLayer(now, i, loads[i])
-		if improved == nil {
-			next.Layers = append(next.Layers, layer)
-			continue
+	copies := make([]int, now.Ranks)
+	for _, i := range layersBySkew(now, loads) {
+		if improved := p.planLayer(now, i, loads[i], copies); improved != nil {
+			next.Layers[i] = improved
+			changed = true
 		}
-		next.Layers = append(next.Layers, improved)
-		changed = true
 	}
 	if !changed {
 		return nil
@@ -63,10 +70,23 @@
 	return next
 }
 
-// planLayer returns the next placement of layer i, or nil to keep it.
-func (p Planner) planLayer(now *Map, i int, loads []float64) []uint16 {
+// layersBySkew returns the indices of all layers, the most skewed first.
+func layersBySkew(m *Map, loads Loads) []int {
+	skews := make([]float64, len(m.Layers))
+	order := make([]int, len(m.Layers))
+	for i := range m.Layers {
+		skews[i], order[i] = m.Skew(i, loads[i]), i
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(skews[b], skews[a]) })
+	return order
+}
+
+// planLayer returns the next placement of layer i, or nil to keep it. copies holds
+// the experts that the plan adds to each rank in other layers; those of this layer
+// are added to it.
+func (p Planner) planLayer(now *Map, i int, loads []float64, copies []int) []uint16 {
 	s := newLayerSearch(now, now.Layers[i], loads)
-	s.maxNewExperts = p.MaxNewExperts
+	s.maxNewExperts, s.maxCopies, s.copies = p.MaxNewExperts, p.MaxCopies, copies
 	if s.totalLoad == 0 {
 		return nil
 	}
@@ -82,6 +102,9 @@
 	if gain <= float64(moves)*orDefault(p.MoveCost, defaultMoveCost) {
 		return nil
 	}
+	for k, n := range s.newExperts {
+		copies[k] += n
+	}
 	return s.layer
 }
 
@@ -152,6 +175,10 @@
 	// 0 means no limit.
 	maxNewExperts int
 	newExperts    []int
+	// maxCopies limits the experts added to a rank in all layers; 0 means no limit.
+	// copies counts those of other layers.
+	maxCopies int
+	copies    []int
 	// slotsOf holds the slots of each expert.
 	slotsOf [][]int
 	// fastest and lightest are the results of fastestRanks and lightestExperts,
@@ -275,7 +302,13 @@
 // mayAdd reports whether a rank may get an expert within the limit on new
 // experts.
 func (s *layerSearch) mayAdd(rank int, e uint16) bool {
-	return s.maxNewExperts == 0 || s.newExperts[rank] < s.maxNewExperts || s.heldOriginally(rank, e)
+	return !s.full(rank) || s.heldOriginally(rank, e)
+}
+
+// full reports whether a rank has reached a limit on new experts.
+func (s *layerSearch) full(rank int) bool {
+	return s.maxNewExperts != 0 && s.newExperts[rank] >= s.maxNewExperts ||
+		s.maxCopies != 0 && s.copies[rank]+s.newExperts[rank] >= s.maxCopies
 }
 
 // heldOriginally reports whether a rank held an expert before the search. It is
@@ -305,6 +338,9 @@
 func (s *layerSearch) fastestRanks() []int {
 	s.fastest = s.fastest[:0]
 	for k, l := range s.rankLoads {
+		if s.full(k) {
+			continue
+		}
 		s.fastest = insertSorted(s.fastest, k, candidateRanks, func(o int) bool { return s.time(k, l) < s.time(o, s.rankLoads[o]) })
 	}
 	return s.fastest
--- a/internal/policy/chivemap/planner_slots_test.go
+++ b/internal/policy/chivemap/planner_slots_test.go
@@ -62,3 +62,32 @@
 		}
 	}
 }
+
+// TestPlanLimitsCopies checks that a plan adds no more experts to a rank than
+// MaxCopies over all layers, and still relieves the most loaded ranks.
+func TestPlanLimitsCopies(t *testing.T) {
+	const ranks, slots, experts, layers = 12, 8, 72, 4
+	for seed := range uint64(20) {
+		r := rand.New(rand.NewPCG(seed, 9))
+		loads := randomLoads(r, layers, experts, 1.3)
+		now := NewRoundRobin(ranks, slots, experts, layers)
+		for _, limit := range []int{1, 2, 4} {
+			next := Planner{Tolerance: 0.25, MaxNewExperts: 1, MaxCopies: limit, Horizon: 400, MoveCost: 0.25}.Plan(now, loads)
+			if next == nil {
+				t.Fatalf("seed %d, limit %d: no plan", seed, limit)
+			}
+			for k := range ranks {
+				copies := 0
+				for l := range layers {
+					copies += countAdded(now.Layers[l][k*slots:(k+1)*slots], next.Layers[l][k*slots:(k+1)*slots])
+				}
+				if copies > limit {
+					t.Errorf("seed %d: rank %d copies %d experts, want at most %d", seed, k, copies, limit)
+				}
+			}
+			if next.StepSkew(loads) > 0.9*now.StepSkew(loads) {
+				t.Errorf("seed %d, limit %d: skew goes from %.2f to %.2f only", seed, limit, now.StepSkew(loads), next.StepSkew(loads))
+			}
+		}
+	}
+}
--- a/internal/run/chivebalance/group.go
+++ b/internal/run/chivebalance/group.go
@@ -45,6 +45,9 @@
 	// copies to a rank. A change takes effect only after copying, so two small
 	// changes help sooner than a large one.
 	maxNewExperts = 1
+	// maxCopyTime bounds the time for which a rank copies experts for one change,
+	// unless a single expert takes longer.
+	maxCopyTime = 200 * time.Millisecond
 	// maxPendingReports is the number of reports in a row that may show a change
 	// in progress although there is none, because reports are out of date.
 	maxPendingReports = 2
@@ -239,7 +242,7 @@
 	}
 	forecast := g.forecaster.Observe(loads)
 	planner := chivemap.Planner{
-		Tolerance: skewTolerance, MaxNewExperts: min(maxNewExperts, ms.engine.MaxNewExperts), Horizon: gainHorizonPasses, MoveCost: moveCostPasses,
+		Tolerance: skewTolerance, MaxNewExperts: min(maxNewExperts, ms.engine.MaxNewExperts), MaxCopies: maxCopies(ms.engine.ExpertCopyTime), Horizon: gainHorizonPasses, MoveCost: moveCostPasses,
 		Slowdowns: g.rankSlowdowns(len(ms.members)),
 	}
 	next := planner.Plan(g.current, forecast)
@@ -313,6 +316,14 @@
 	return layout, nil
 }
 
+// maxCopies returns the number of experts that a rank may copy for one change.
+func maxCopies(expertCopyTime time.Duration) int {
+	if expertCopyTime <= 0 {
+		return 0
+	}
+	return max(1, int(maxCopyTime/expertCopyTime))
+}
+
 // rankSlowdowns returns the slowdown of every rank, at least 1, or nil if no rank is
 // slow.
 func (g *group) rankSlowdowns(ranks int) []float64 {
