Leave the demand for experts to the next holder of the map duty

The new holder waited 1.5 s to hear from peers that could not hold the duty, and then for requests to be counted.

The registered entry VM that is first by name tries for the lease before it has heard from its peers; a holder that is alive keeps it by its renewals.

--- a/internal/run/chivebalance/balancer.go
+++ b/internal/run/chivebalance/balancer.go
@@ -59,6 +59,10 @@
 	groups       map[string]*group
 	// tokenSeqs counts the tokens that this process has issued for each group.
 	tokenSeqs map[string]*int64
+	// demand holds the newest demand for experts in each group, inheritedFence the
+	// fencing token under which it was last inherited.
+	demand         demandByGroup
+	inheritedFence uint64
 }
 
 // leaseTerm is the time during which this process acts under one fencing token.
@@ -84,7 +88,7 @@
 // Run competes for the lease and balances the groups until the context ends. It
 // then releases the lease and returns nil.
 func (b *Balancer) Run(ctx context.Context) error {
-	keeper := &chivelease.Keeper{Table: b.Table, Duty: leaseName, Holder: b.Name, TTL: leaseTTL, Now: bootTime, HasEnded: b.HasEnded}
+	keeper := &chivelease.Keeper{Table: b.Table, Duty: leaseName, Holder: b.Name, TTL: leaseTTL, Now: bootTime, HasEnded: b.HasEnded, State: b.demand.encode}
 	b.groups, b.tokenSeqs = map[string]*group{}, map[string]*int64{}
 	for ctx.Err() == nil {
 		if !b.Candidate() {
@@ -127,6 +131,7 @@
 	term := &leaseTerm{keeper: keeper}
 	fence, _ := term.Held()
 	b.Log.Info("Acquired the lease.", "duty", leaseName, "fence", fence)
+	b.inheritDemand(keeper, fence)
 	b.holdsDuty.Store(true)
 	termCtx, stop := context.WithCancel(ctx)
 	done := make(chan struct{})
@@ -148,6 +153,18 @@
 	b.Log.Info("Stopped acting under the lease.", "duty", leaseName, "fence", fence)
 }
 
+// inheritDemand takes over the demand that the previous holder of the lease left, once
+// under each fencing token: the same token is reacquired without a previous holder.
+func (b *Balancer) inheritDemand(keeper *chivelease.Keeper, fence uint64) {
+	if fence == b.inheritedFence {
+		return
+	}
+	b.inheritedFence = fence
+	if err := b.demand.decode(keeper.Inherited()); err != nil {
+		b.Log.Warn("Demand that the previous holder left is malformed and ignored.", "duty", leaseName, "error", err)
+	}
+}
+
 // balanceGroups runs a round of every group, one after the other, and repeats
 // that after roundInterval until the context ends.
 func (b *Balancer) balanceGroups(ctx context.Context, term *leaseTerm) {
--- a/internal/run/chivebalance/balancer_test.go
+++ b/internal/run/chivebalance/balancer_test.go
@@ -251,3 +251,58 @@
 		t.Errorf("slow rank has load %v, above the mean of %v", loads[rank], loads)
 	}
 }
+
+// TestDemandOutlivesProcess checks that after a loss of power of all VMs, the next
+// holder of the lease gives a group that was formed anew, and that has counted no
+// request yet, a map for the demand of before.
+func TestDemandOutlivesProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &chiverow.MemoryTable{}
+		runBalancer(t, newFakeEngine(), table, "e/1")
+		formedAnew := newFakeEngine()
+		for k := range rankCount {
+			formedAnew.serving[k] = false
+		}
+		before := formedAnew.skew()
+		runBalancer(t, formedAnew, table, "e/2")
+		if after := formedAnew.skew(); after > 0.7*before {
+			t.Errorf("skew went from %v to %v without counts, want a reduction by at least 30%%", before, after)
+		}
+	})
+}
+
+// runBalancer runs a balancer and the group of an engine for some seconds.
+func runBalancer(t *testing.T, g *fakeEngine, table chiverow.Table, name string) {
+	t.Helper()
+	b := &Balancer{
+		Engine: g, Table: table, Name: name, Zone: "a", Fleet: testFleet, Candidate: func() bool { return true },
+		HasEnded: func(holder string) bool { return holder != name }, Log: log.New(io.Discard), ReportSlow: func(string, map[string]float64) {},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { g.run(ctx) })
+	running.Go(func() { _ = b.Run(ctx) })
+	time.Sleep(4 * time.Second)
+	cancel()
+	running.Wait()
+}
+
+// TestMalformedDemand checks that demand which does not fit a group is not used.
+func TestMalformedDemand(t *testing.T) {
+	var d, restored demandByGroup
+	d.set("g", chivemap.Loads{{1, 2, 0}, {4, 0, 1}})
+	if err := restored.decode(d.encode()); err != nil {
+		t.Fatal(err)
+	}
+	if restored.get("g", 2, 3) == nil {
+		t.Error("demand is not restored")
+	}
+	for _, shape := range [][2]int{{1, 3}, {2, 4}} {
+		if restored.get("g", shape[0], shape[1]) != nil {
+			t.Errorf("demand of 2 layers with 3 experts is used for %v", shape)
+		}
+	}
+	if err := restored.decode([]byte("torn")); err == nil || restored.get("g", 2, 3) == nil {
+		t.Errorf("malformed demand: error %v, demand kept %t", err, restored.get("g", 2, 3) != nil)
+	}
+}
--- a/internal/run/chivebalance/group.go
+++ b/internal/run/chivebalance/group.go
@@ -230,6 +230,11 @@
 	g.incompleteReason = ""
 	if g.current == nil || g.epoch != ms.epoch {
 		g.loadMap(ctx, ms)
+		// A group that was formed anew has map 0. The demand of before serves until its
+		// requests have been counted.
+		if demand := g.balancer.demand.get(g.name, ms.engine.Layers, ms.engine.Experts); g.current != nil && demand != nil {
+			g.improveMap(ctx, ms, demand)
+		}
 		return
 	}
 	if !g.checkSettled(ctx, ms) {
@@ -241,6 +246,12 @@
 		return
 	}
 	forecast := g.forecaster.Observe(loads)
+	g.balancer.demand.set(g.name, forecast)
+	g.improveMap(ctx, ms, forecast)
+}
+
+// improveMap changes the map if the gain under the forecast demand is worth its cost.
+func (g *group) improveMap(ctx context.Context, ms *membership, forecast chivemap.Loads) {
 	planner := chivemap.Planner{
 		Tolerance: skewTolerance, MaxNewExperts: min(maxNewExperts, ms.engine.MaxNewExperts), MaxCopies: maxCopies(ms.engine.ExpertCopyTime), Horizon: gainHorizonPasses, MoveCost: moveCostPasses,
 		Slowdowns: g.rankSlowdowns(len(ms.members)),
--- a/internal/run/chiveentry/duty.go
+++ b/internal/run/chiveentry/duty.go
@@ -37,11 +37,30 @@
 	return d.peersDiscovered()
 }
 
+// firstRegistered reports whether this entry VM is registered and comes before all
+// others by name. After a loss of power of all, it takes the duty before it has heard
+// from its peers; a holder that is alive keeps the lease all the same.
+func (d *Daemon) firstRegistered() bool {
+	entries := d.tracker.Fleet().Entries
+	if _, ok := entries[d.settings.Entry.Name]; !ok {
+		return false
+	}
+	for name := range entries {
+		if name < d.settings.Entry.Name {
+			return false
+		}
+	}
+	return true
+}
+
 // dutyCandidate reports whether this entry VM should try to take the duty of balancing
 // expert maps. It should if it is connected to the store, no peer that is alive holds
 // the duty, and no peer that comes before it by name is connected to the store.
 func (d *Daemon) dutyCandidate() bool {
-	if answered := d.source.SinceStoreAnswer(); d.leaving.Load() || !d.peersDiscovered() || answered < 0 || answered > storeAnswerMaxAge {
+	if answered := d.source.SinceStoreAnswer(); d.leaving.Load() || answered < 0 || answered > storeAnswerMaxAge {
+		return false
+	}
+	if !d.peersDiscovered() && !d.firstRegistered() {
 		return false
 	}
 	for _, p := range d.mesh.Peers() {
--- a/internal/state/chivelease/keeper.go
+++ b/internal/state/chivelease/keeper.go
@@ -30,6 +30,8 @@
 	Holder string `cbor:"holder"`
 	// Fence is the fencing token. It grows with every change of the holder.
 	Fence uint64 `cbor:"fence"`
+	// State is what the last holder left for the next one.
+	State []byte `cbor:"state,omitempty"`
 }
 
 // Keeper acquires and renews the lease on one duty. Clocks of different processes
@@ -49,6 +51,9 @@
 	// HasEnded reports whether a holder is known to have ended, so that its lease
 	// can be taken over before it expires; nil means that this is never known.
 	HasEnded func(holder string) bool
+	// State returns what the next holder is to inherit. It is stored with each
+	// renewal; nil means that there is nothing.
+	State func() []byte
 
 	// seenVersion is the last version of the row that was read while another
 	// keeper held the lease, seenAt the time of its first read.
@@ -63,6 +68,8 @@
 	fence uint64
 	// heldUntil is when this keeper stops relying on its lease.
 	heldUntil time.Time
+	// inherited is the state that was stored when this keeper acquired the lease.
+	inherited []byte
 }
 
 // Held returns the fencing token and reports whether the lease is held now. It is
@@ -73,6 +80,14 @@
 	return k.fence, k.fence != 0 && k.now().Before(k.heldUntil)
 }
 
+// Inherited returns the state that the previous holder stored last, or nil if there
+// is none. It is safe for concurrent use.
+func (k *Keeper) Inherited() []byte {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.inherited
+}
+
 // Step renews the lease, acquires it or checks whether its holder still renews it.
 // One goroutine must call it several times within the TTL.
 func (k *Keeper) Step(ctx context.Context) error {
@@ -96,7 +111,7 @@
 	}
 	k.clearFence()
 	if record.Holder == "" || k.HasEnded != nil && k.HasEnded(record.Holder) {
-		return k.write(ctx, row, Record{Holder: k.Holder, Fence: record.Fence + 1}, began)
+		return k.acquire(ctx, row, record, began)
 	}
 	if row.Version != k.seenVersion {
 		k.seenVersion, k.seenAt = row.Version, k.now()
@@ -105,7 +120,23 @@
 	if k.now().Sub(k.seenAt) < k.ttl() {
 		return nil
 	}
-	return k.write(ctx, row, Record{Holder: k.Holder, Fence: record.Fence + 1}, began)
+	return k.acquire(ctx, row, record, began)
+}
+
+// acquire takes the lease over from the holder of the stored record.
+func (k *Keeper) acquire(ctx context.Context, row chiverow.Row, stored Record, began time.Time) error {
+	k.mu.Lock()
+	k.inherited = stored.State
+	k.mu.Unlock()
+	return k.write(ctx, row, Record{Holder: k.Holder, Fence: stored.Fence + 1, State: stored.State}, began)
+}
+
+// currentState returns the state to store with a renewal.
+func (k *Keeper) currentState() []byte {
+	if k.State == nil {
+		return nil
+	}
+	return k.State()
 }
 
 // Release gives the lease back, so that another process can acquire it without
@@ -127,14 +158,14 @@
 	if record.Holder != k.Holder || record.Fence != fence {
 		return nil
 	}
-	return k.put(ctx, row, Record{Fence: fence})
+	return k.put(ctx, row, Record{Fence: fence, State: k.currentState()})
 }
 
 // renew rewrites the row of a held lease without reading it first and reports
 // whether that succeeded. After a failure the row must be read.
 func (k *Keeper) renew(ctx context.Context, began time.Time) bool {
 	old := chiverow.Row{Version: k.writtenVersion}
-	return k.write(ctx, old, Record{Holder: k.Holder, Fence: k.fence}, began) == nil
+	return k.write(ctx, old, Record{Holder: k.Holder, Fence: k.fence, State: k.currentState()}, began) == nil
 }
 
 // write writes a record with this keeper as the holder over the row old. The lease
--- a/internal/state/chivelease/keeper_test.go
+++ b/internal/state/chivelease/keeper_test.go
@@ -100,3 +100,36 @@
 		t.Fatalf("next keeper after a release: fencing token %d, held %t, want 2, true", fence, held)
 	}
 }
+
+// TestStateIsInherited checks that the next holder gets the state that the previous
+// one stored last, whether it released the lease or let it expire.
+func TestStateIsInherited(t *testing.T) {
+	for _, release := range []bool{true, false} {
+		ctx := context.Background()
+		var now time.Duration
+		clock := skewedClock{&now, 1}
+		table := &chiverow.MemoryTable{}
+		state := "first"
+		a := &Keeper{Table: table, Duty: "d", Holder: "a", TTL: time.Second, Now: clock.read, State: func() []byte { return []byte(state) }}
+		b := &Keeper{Table: table, Duty: "d", Holder: "b", TTL: time.Second, Now: clock.read, HasEnded: func(string) bool { return true }}
+		if err := a.Step(ctx); err != nil {
+			t.Fatal(err)
+		}
+		state = "second"
+		if err := a.Step(ctx); err != nil {
+			t.Fatal(err)
+		}
+		if release {
+			state = "last"
+			if err := a.Release(ctx); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := b.Step(ctx); err != nil {
+			t.Fatal(err)
+		}
+		if got := string(b.Inherited()); got != state {
+			t.Errorf("released %t: the next holder inherits %q, want %q", release, got, state)
+		}
+	}
+}
