Wait for a group that is being formed, and relieve slow ranks sooner

Change: the registrations say whether a group is open. A request for a group that has all its ranks but is not open waits for it, at most until 1.2 s after its start, since callers abandon a stream without an event after 2 s. A group that lacks a rank is refused at once, and nothing is sent to it. With a view of the fleet older than 2 s the registrations are not relied on. Pattern: chiverelay.TestGroupIsFormed.

Change: ranks are polled also while a change is in progress; with passes from 150 ms a change takes effect one pass ahead instead of two; copying may take as long as a pass.

--- a/internal/policy/chivelimit/detector.go
+++ b/internal/policy/chivelimit/detector.go
@@ -21,6 +21,13 @@
 	baseline time.Duration
 	lastPass int64
 	lastTime time.Time
+	// stepTime is the step time at the last observation.
+	stepTime time.Duration
+}
+
+// StepTime returns the step time at the last observation, or 0 before the second one.
+func (d *StepTimeDetector) StepTime() time.Duration {
+	return d.stepTime
 }
 
 // Observe records the number of the latest forward pass that had begun by now
@@ -35,6 +42,7 @@
 	// If no pass has begun since, the elapsed time is a lower bound of the
 	// duration of the current one.
 	stepTime := now.Sub(at) / time.Duration(max(1, pass-last))
+	d.stepTime = stepTime
 	if pass > last {
 		d.lastPass, d.lastTime = pass, now
 	}
--- a/internal/run/chivebalance/group.go
+++ b/internal/run/chivebalance/group.go
@@ -46,7 +46,7 @@
 	// changes help sooner than a large one.
 	maxNewExperts = 1
 	// maxCopyTime bounds the time for which a rank copies experts for one change,
-	// unless a single expert takes longer.
+	// unless a single expert or a pass takes longer.
 	maxCopyTime = 200 * time.Millisecond
 	// maxPendingReports is the number of reports in a row that may show a change
 	// in progress although there is none, because reports are out of date.
@@ -237,10 +237,15 @@
 		}
 		return
 	}
-	if !g.checkSettled(ctx, ms) {
+	settled := g.checkSettled(ctx, ms)
+	// A rank that has become slow delays the pass of a change that is in progress, and
+	// must be known all the same.
+	if settled || g.current != nil && g.pollAll {
+		g.pollSlowdowns(ctx, ms)
+	}
+	if !settled {
 		return
 	}
-	g.pollSlowdowns(ctx, ms)
 	loads := g.sampleLoads(ctx, ms)
 	if loads == nil {
 		return
@@ -253,7 +258,7 @@
 // improveMap changes the map if the gain under the forecast demand is worth its cost.
 func (g *group) improveMap(ctx context.Context, ms *membership, forecast chivemap.Loads) {
 	planner := chivemap.Planner{
-		Tolerance: skewTolerance, MaxNewExperts: min(maxNewExperts, ms.engine.MaxNewExperts), MaxCopies: maxCopies(ms.engine.ExpertCopyTime), Horizon: gainHorizonPasses, MoveCost: moveCostPasses,
+		Tolerance: skewTolerance, MaxNewExperts: min(maxNewExperts, ms.engine.MaxNewExperts), MaxCopies: maxCopies(ms.engine.ExpertCopyTime, g.stepTimes.StepTime()), Horizon: gainHorizonPasses, MoveCost: moveCostPasses,
 		Slowdowns: g.rankSlowdowns(len(ms.members)),
 	}
 	next := planner.Plan(g.current, forecast)
@@ -327,12 +332,14 @@
 	return layout, nil
 }
 
-// maxCopies returns the number of experts that a rank may copy for one change.
-func maxCopies(expertCopyTime time.Duration) int {
+// maxCopies returns the number of experts that a rank may copy for one change, 0 for
+// no limit. A change waits for a pass to end in any case, so that copying may take as
+// long as a pass.
+func maxCopies(expertCopyTime, passTime time.Duration) int {
 	if expertCopyTime <= 0 {
 		return 0
 	}
-	return max(1, int(maxCopyTime/expertCopyTime))
+	return max(1, int(max(maxCopyTime, passTime)/expertCopyTime))
 }
 
 // rankSlowdowns returns the slowdown of every rank, at least 1, or nil if no rank is
@@ -497,7 +504,7 @@
 func (g *group) applyMap(ctx context.Context, ms *membership, next *chivemap.Map, before, after float64) {
 	moves := g.current.Moves(next)
 	start := time.Now()
-	version, err := g.switcher.Switch(ctx, ms.members, g.epoch, next.Layout(), ms.engine.ExpertCopyTime)
+	version, err := g.switcher.Switch(ctx, ms.members, g.epoch, next.Layout(), ms.engine.ExpertCopyTime, g.stepTimes.StepTime())
 	if err != nil {
 		g.handleRankError("Expert map could not be changed.", err)
 		return
--- a/internal/run/chiverelay/relay.go
+++ b/internal/run/chiverelay/relay.go
@@ -116,6 +116,9 @@
 	lastEventTime chiveclock.Moment
 	// unavailable reports whether no runner or no configuration is known.
 	unavailable bool
+	// groupClosed reports whether the last reservation failed because no group of ranks
+	// is open, forming whether one is being formed.
+	groupClosed, forming bool
 	// groupBroken reports whether a runner refused the request because another
 	// runner of its group failed.
 	groupBroken bool
@@ -252,6 +255,9 @@
 		if runner == nil {
 			runner = x.reserveRunner()
 		}
+		if runner == nil && x.awaitGroup(ctx) {
+			continue
+		}
 		if runner == nil {
 			x.respondUnserved(ctx)
 			return
@@ -302,13 +308,17 @@
 		x.cause = "too little time is left"
 		return nil
 	}
-	usable := x.fleet.UsableRunners(x.service.Name)
+	usable := x.openRunners()
 	runner := x.relay.State.Reserve(usable, x.chooser(), x.reserveOptions())
 	if runner == nil && x.cause == "" {
 		x.unavailable = len(usable) == 0
-		x.cause = "no runner has room"
-		if x.unavailable {
+		switch {
+		case x.groupClosed:
+			x.cause = "the group of ranks is not open"
+		case x.unavailable:
 			x.cause = "the service has no runner"
+		default:
+			x.cause = "no runner has room"
 		}
 	}
 	return runner
--- a/internal/state/chiverank/switcher.go
+++ b/internal/state/chiverank/switcher.go
@@ -29,11 +29,14 @@
 	prepareTimeout = 8 * time.Second
 	// reportInterval is the pause between two polls of ranks that are copying.
 	reportInterval = 25 * time.Millisecond
-	// minLeadPasses is the number of passes between the last reported pass and the
-	// one at which the map changes. It is doubled up to leadDoublings times while
-	// the hold arrives after that pass has begun.
-	minLeadPasses = 2
-	leadDoublings = 5
+	// leadPasses is the number of passes between the last reported pass and the one at
+	// which the map changes, slowLeadPasses that number if a pass takes at least
+	// slowPassTime, which is enough to arm all ranks. It is doubled up to leadDoublings
+	// times while the hold arrives after that pass has begun.
+	leadPasses     = 2
+	slowLeadPasses = 1
+	slowPassTime   = 150 * time.Millisecond
+	leadDoublings  = 5
 	// confirmTimeout bounds the attempts until a rank confirms an order other than
 	// Prepare. If a rank does not confirm Arm, the change is rolled back.
 	confirmTimeout = 6 * time.Second
@@ -83,9 +86,9 @@
 // Switch makes all ranks use a map and returns its version. members are all ranks
 // of the group in the given epoch, ordered by rank. layout lists the experts per
 // layer and rank. copyTime is the least time that copying the experts takes; no
-// rank is polled before. If a rank cannot be armed, the change is rolled back and
-// the error returned.
-func (s *Switcher) Switch(ctx context.Context, members []Member, epoch int64, layout [][][]int, copyTime time.Duration) (version int64, err error) {
+// rank is polled before. passTime is the recent duration of a pass, 0 if unknown. If a
+// rank cannot be armed, the change is rolled back and the error returned.
+func (s *Switcher) Switch(ctx context.Context, members []Member, epoch int64, layout [][][]int, copyTime, passTime time.Duration) (version int64, err error) {
 	token, err := s.nextToken()
 	if err != nil {
 		return 0, err
@@ -101,7 +104,11 @@
 	}
 	order.Map = nil
 	holder := roundHolder(members, token, nil)
-	pass, err = s.holdAhead(ctx, holder, order, pass)
+	lead := int64(leadPasses)
+	if passTime >= slowPassTime {
+		lead = slowLeadPasses
+	}
+	pass, err = s.holdAhead(ctx, holder, order, pass, lead)
 	if err != nil {
 		return 0, err
 	}
@@ -171,13 +178,14 @@
 	}
 }
 
-// holdAhead makes the rank m hold the group a few passes after the given one, and
+// holdAhead makes the rank m hold the group lead passes after the given one, and
 // returns the pass before which it is held. It tries later passes while the
 // chosen one has begun already.
-func (s *Switcher) holdAhead(ctx context.Context, m Member, o Order, pass int64) (int64, error) {
+func (s *Switcher) holdAhead(ctx context.Context, m Member, o Order, pass, lead int64) (int64, error) {
 	o.Op = Hold
-	for lead := int64(minLeadPasses); lead <= minLeadPasses<<leadDoublings; lead *= 2 {
+	for range leadDoublings + 1 {
 		o.Pass = pass + lead
+		lead *= 2
 		err := s.orderUntilConfirmed(ctx, m, o, confirmTimeout)
 		if err == nil {
 			return o.Pass, nil
