Leave no experts on a rank that is twice as slow

Change: ranks from twice the usual step time are vacated: their experts are dropped where another rank has them, else copied to the fastest rank with a free slot or a replica to spare, within the limits on copies; the search gives them none. Not so if more than a third of the ranks are slow or the others lack the slots.

--- a/internal/policy/chivemap/map.go
+++ b/internal/policy/chivemap/map.go
@@ -138,9 +138,9 @@
 }
 
 // RankExperts returns the experts that a rank holds in a layer, in the order of
-// its slots.
+// its slots. The list is not nil, so that it is encoded as an empty one.
 func (m *Map) RankExperts(layer, rank int) []int {
-	var list []int
+	list := make([]int, 0, m.Slots)
 	for _, e := range m.Layers[layer][rank*m.Slots : (rank+1)*m.Slots] {
 		if e != EmptySlot {
 			list = append(list, int(e))
--- a/internal/policy/chivemap/map_test.go
+++ b/internal/policy/chivemap/map_test.go
@@ -14,6 +14,7 @@
 		{"each expert once", [][][]int{{{0, 2}, {1}}}, true},
 		{"a replica", [][][]int{{{0, 2}, {1, 0}}, {{0}, {1, 2}}}, true},
 		{"an expert is missing, a rank is empty", [][][]int{{{0, 1}, {}}}, false},
+		{"a rank without experts", [][][]int{{{0, 1}, {2}, {}}}, true},
 		{"no layer", nil, false},
 		{"too many experts for the slots", [][][]int{{{0, 1, 2}, {0}}}, false},
 		{"an expert that does not exist", [][][]int{{{0, 3}, {1, 2}}}, false},
--- a/internal/policy/chivemap/planner.go
+++ b/internal/policy/chivemap/planner.go
@@ -53,7 +53,8 @@
 
 // Plan returns the next map for the loads, or nil to keep the present one. A
 // layer changes only if the step time saved over the horizon exceeds the cost of
-// its moves, and by as few slots as bring it near the lower bound.
+// its moves or a slow rank is vacated, and by as few slots as bring it near the lower
+// bound.
 func (p Planner) Plan(now *Map, loads Loads) *Map {
 	next := &Map{Ranks: now.Ranks, Slots: now.Slots, Experts: now.Experts, Layers: slices.Clone(now.Layers)}
 	changed := false
@@ -93,13 +94,14 @@
 	s.slowdowns = p.Slowdowns
 	target := p.lowerBound(now, loads) * (1 + orDefault(p.Tolerance, defaultTolerance))
 	before := s.maxTime()
-	moves := s.improve(target, p.MaxMoves)
+	vacated := s.vacate(p.vacatedRanks(now))
+	moves := vacated + s.improve(target, p.MaxMoves)
 	if moves == 0 {
 		return nil
 	}
 	layers := float64(len(now.Layers))
 	gain := (before - s.maxTime()) / (s.totalLoad / float64(now.Ranks)) / layers * orDefault(p.Horizon, defaultHorizon)
-	if gain <= float64(moves)*orDefault(p.MoveCost, defaultMoveCost) {
+	if vacated == 0 && gain <= float64(moves)*orDefault(p.MoveCost, defaultMoveCost) {
 		return nil
 	}
 	for k, n := range s.newExperts {
@@ -169,6 +171,8 @@
 	// slowdowns holds the relative step time of each rank, or is nil if all are
 	// equally fast.
 	slowdowns []float64
+	// vacated reports for each rank whether it is to hold no experts.
+	vacated []bool
 	// original is the layer before the search.
 	original []uint16
 	// maxNewExperts limits the experts added to a rank, which newExperts counts;
@@ -287,7 +291,7 @@
 // considerSlot updates best with the changes between the slowest rank and slot
 // to.
 func (s *layerSearch) considerSlot(best *slotChange, slowest, to int) {
-	if to/s.slots == slowest {
+	if to/s.slots == slowest || s.vacated[to/s.slots] {
 		return
 	}
 	for from := slowest * s.slots; from < (slowest+1)*s.slots; from++ {
@@ -305,9 +309,9 @@
 	return !s.full(rank) || s.heldOriginally(rank, e)
 }
 
-// full reports whether a rank has reached a limit on new experts.
+// full reports whether a rank has reached a limit on new experts or is vacated.
 func (s *layerSearch) full(rank int) bool {
-	return s.maxNewExperts != 0 && s.newExperts[rank] >= s.maxNewExperts ||
+	return s.vacated[rank] || s.maxNewExperts != 0 && s.newExperts[rank] >= s.maxNewExperts ||
 		s.maxCopies != 0 && s.copies[rank]+s.newExperts[rank] >= s.maxCopies
 }
 
--- a/internal/run/chivebalance/group.go
+++ b/internal/run/chivebalance/group.go
@@ -266,7 +266,7 @@
 		return
 	}
 	before, after := planner.RelativeStepTime(g.current, forecast), planner.RelativeStepTime(next, forecast)
-	if after > before*(1-minStepTimeGain) {
+	if after > before*(1-minStepTimeGain) && planner.MisplacedExperts(next) >= planner.MisplacedExperts(g.current) {
 		return
 	}
 	g.applyMap(ctx, ms, next, before, after)
