Compare eras and versions in feeds, replicas and conditional writes

The replicas, the hubs' journals and the conditional writes compared versions alone.

Change: pages, revisions, positions and replies of hubs carry the era. Changes of another era are discarded and the table is read whole; a hub of an earlier era is not used; a process that sends no era is answered as before. Fencing tokens of an era start above all of the one before, a holder whose token was issued in an earlier era acquires a new one, and a holder learns from the maps of ranks that a higher token is in use.

--- a/internal/bench/chiveplatform/store.go
+++ b/internal/bench/chiveplatform/store.go
@@ -3,9 +3,12 @@
 package chiveplatform
 
 import (
+	"bytes"
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"sync"
@@ -54,12 +57,65 @@
 	version int64
 	// droppedUpTo is the version up to which the history was dropped.
 	droppedUpTo int64
-	fault       StoreFault
+	// era counts how often the store has returned from an older copy, from 1.
+	era   int64
+	fault StoreFault
+}
+
+// StoreCopy is the content of a store at some moment.
+type StoreCopy struct {
+	tables               map[string]map[string]platform.Row
+	changes              []platform.Row
+	version, droppedUpTo int64
 }
 
 // NewStore returns an empty Store without a fault.
 func NewStore() *Store {
-	return &Store{tables: map[string]map[string]platform.Row{}}
+	return &Store{tables: map[string]map[string]platform.Row{}, era: 1}
+}
+
+// Copy returns a copy of the content.
+func (s *Store) Copy() *StoreCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := &StoreCopy{tables: map[string]map[string]platform.Row{}, changes: slices.Clone(s.changes), version: s.version, droppedUpTo: s.droppedUpTo}
+	for name, rows := range s.tables {
+		c.tables[name] = maps.Clone(rows)
+	}
+	return c
+}
+
+// ReturnFrom replaces the content by a copy, which must not be used again, and begins
+// the next era. The rows that operators and runners wrote since the copy are written
+// again; what others wrote is lost.
+func (s *Store) ReturnFrom(c *StoreCopy, own func(table string) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lost := s.tables
+	s.tables, s.changes, s.version, s.droppedUpTo = c.tables, c.changes, c.version, c.droppedUpTo
+	s.era++
+	for name, rows := range lost {
+		if !own(name) {
+			s.rewrite(name, rows)
+		}
+	}
+}
+
+// rewrite gives a table the rows that it had before the store returned. The caller
+// holds s.mu.
+func (s *Store) rewrite(table string, rows map[string]platform.Row) {
+	for key, r := range rows {
+		if now, ok := s.tables[table][key]; !ok || !bytes.Equal(now.Value, r.Value) {
+			s.version++
+			s.put(r)
+		}
+	}
+	for key, r := range s.tables[table] {
+		if _, ok := rows[key]; !ok {
+			s.version++
+			s.remove(r)
+		}
+	}
 }
 
 // SetFault replaces the fault of the store.
@@ -130,6 +186,7 @@
 	case StoreSlow:
 		time.Sleep(slowDelay)
 	}
+	w = &eraWriter{ResponseWriter: w, store: s}
 	switch r.URL.Path {
 	case "/-/rows-tx":
 		s.transact(w, r, fault == StoreLossy && rand.Float64() < lostAnswerFraction)
@@ -142,6 +199,21 @@
 	}
 }
 
+// eraWriter adds the store's era to the header of an answer.
+type eraWriter struct {
+	http.ResponseWriter
+	store *Store
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *eraWriter) WriteHeader(status int) {
+	w.store.mu.Lock()
+	era := w.store.era
+	w.store.mu.Unlock()
+	w.Header().Set(platform.HeaderEra, strconv.FormatInt(era, 10))
+	w.ResponseWriter.WriteHeader(status)
+}
+
 // transact serves a transaction. If dropAnswer is set, the transaction is applied and
 // the connection is aborted without an answer.
 func (s *Store) transact(w http.ResponseWriter, r *http.Request, dropAnswer bool) {
@@ -223,11 +295,11 @@
 }
 
 // changesSince returns the changes of a table after a version. It returns false if
-// the history does not reach back that far.
+// the history does not reach back that far, or the store does not have that version.
 func (s *Store) changesSince(table string, after int64) (*platform.Page, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if after < s.droppedUpTo {
+	if after < s.droppedUpTo || after > s.version {
 		return nil, false
 	}
 	p := &platform.Page{Version: s.version}
--- a/internal/run/chivebalance/balancer.go
+++ b/internal/run/chivebalance/balancer.go
@@ -80,6 +80,12 @@
 	return fence, fence != 0 && !t.fenced.Load()
 }
 
+// Supersede implements chiverank.Lease.
+func (t *leaseTerm) Supersede(fence uint64) {
+	t.fenced.Store(true)
+	t.keeper.Supersede(fence)
+}
+
 // HoldsDuty reports whether this entry VM balances the groups now.
 func (b *Balancer) HoldsDuty() bool {
 	return b.holdsDuty.Load()
--- a/internal/run/chivehub/hub_test.go
+++ b/internal/run/chivehub/hub_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -49,6 +50,9 @@
 	rows    map[string]chivefollow.Row
 	changes []chivefollow.Row
 	version int64
+	era     int64
+	// older is an earlier content, to which returnFromCopy goes back.
+	older func()
 	// droppedUpTo is the version up to which the history was dropped.
 	droppedUpTo int64
 	down        bool
@@ -63,13 +67,30 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
-	r := chivefollow.Row{Key: key, Value: []byte(strconv.FormatInt(s.version, 10)), Version: s.version, Removed: removed}
+	r := chivefollow.Row{Key: key, Value: fmt.Appendf(nil, "%d/%d", s.era, s.version), Version: s.version, Removed: removed}
 	s.changes = append(s.changes, r)
 	if delete(s.rows, key); !removed {
 		s.rows[key] = r
 	}
 }
 
+// keepCopy keeps the content for returnFromCopy.
+func (s *fakeStore) keepCopy() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rows, changes, version := maps.Clone(s.rows), slices.Clone(s.changes), s.version
+	s.older = func() { s.rows, s.changes, s.version = rows, changes, version }
+}
+
+// returnFromCopy goes back to the content of keepCopy and begins the next era.
+func (s *fakeStore) returnFromCopy() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.older()
+	s.droppedUpTo = min(s.droppedUpTo, s.version)
+	s.era++
+}
+
 // storeAccess implements chivefollow.Source for one entry VM.
 type storeAccess struct {
 	store *fakeStore
@@ -110,7 +131,7 @@
 	s := a.store
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := chivefollow.Page{Version: s.version, Snapshot: true, Confirmed: simulatedNow()}
+	p := chivefollow.Page{Era: s.era, Version: s.version, Snapshot: true, Confirmed: simulatedNow()}
 	for _, r := range s.rows {
 		p.Rows = append(p.Rows, r)
 	}
@@ -118,7 +139,7 @@
 }
 
 // Changes implements chivefollow.Source.Changes.
-func (a storeAccess) Changes(ctx context.Context, _ string, after int64, wait time.Duration) (chivefollow.Page, error) {
+func (a storeAccess) Changes(ctx context.Context, _ string, after chivefollow.Position, wait time.Duration) (chivefollow.Page, error) {
 	if err := a.call(ctx); err != nil {
 		return chivefollow.Page{}, err
 	}
@@ -127,7 +148,7 @@
 		if err := a.checkReachable(ctx); err != nil {
 			return chivefollow.Page{}, err
 		}
-		p, err := a.changesSince(after)
+		p, err := a.changesSince(after.Version)
 		if p.Confirmed = sent; err != nil || len(p.Rows) > 0 || !time.Now().Before(until) {
 			return p, err
 		}
@@ -139,10 +160,10 @@
 	s := a.store
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if after < s.droppedUpTo {
+	if after < s.droppedUpTo || after > s.version {
 		return chivefollow.Page{}, chivefollow.ErrCompacted
 	}
-	p := chivefollow.Page{Version: s.version}
+	p := chivefollow.Page{Era: s.era, Version: s.version}
 	for _, r := range s.changes {
 		if r.Version > after {
 			p.Rows = append(p.Rows, r)
@@ -217,7 +238,7 @@
 func (v *simVM) Position() int { return Position(v.name, v.members()) }
 
 // Changes implements Replicas.Changes.
-func (v *simVM) Changes(ctx context.Context, hub *Hub, table string, after int64) (chivefollow.Page, error) {
+func (v *simVM) Changes(ctx context.Context, hub *Hub, table string, after chivefollow.Position) (chivefollow.Page, error) {
 	if v.zone.isFrozen(hub.Name) {
 		<-ctx.Done()
 		return chivefollow.Page{}, ctx.Err()
@@ -270,7 +291,7 @@
 // newSimZone returns a zone with a number of entry VMs.
 func newSimZone(members int) *simZone {
 	z := &simZone{
-		store:  &fakeStore{rows: map[string]chivefollow.Row{}, refused: map[string]bool{}, unreachable: map[string]bool{}, version: 1},
+		store:  &fakeStore{rows: map[string]chivefollow.Row{}, refused: map[string]bool{}, unreachable: map[string]bool{}, version: 1, era: 1},
 		frozen: map[string]bool{}, vms: map[string]*simVM{},
 	}
 	for i := range members {
@@ -330,8 +351,9 @@
 
 // TestChangesReachEveryEntryVM guards against replicas that stay stale after a fault. A
 // table changes while the hub is frozen, refused by the store or cut off from it, and
-// after the store was unavailable or dropped its history. Each change must reach the
-// entry VMs that reach the store within propagationBound.
+// after the store was unavailable, dropped its history or returned from an older copy,
+// whose versions it gives out again. Each change must reach the entry VMs that reach the
+// store within propagationBound.
 func TestChangesReachEveryEntryVM(t *testing.T) {
 	for seed := range uint64(15) {
 		synctest.Test(t, func(t *testing.T) {
@@ -340,13 +362,16 @@
 			z.runDuring(t, rng, func() {
 				time.Sleep(3 * time.Second)
 				for round := range 12 {
+					z.store.keepCopy()
 					victim := z.injectFault(rng)
 					time.Sleep(time.Duration(rng.Int64N(int64(2 * time.Second))))
 					z.store.mu.Lock()
 					z.store.down = false
 					z.store.mu.Unlock()
-					for range 1 + rng.IntN(4) {
-						z.store.write(strconv.Itoa(rng.IntN(8)), rng.IntN(3) == 0)
+					z.writeSome(rng)
+					if rng.IntN(3) == 0 {
+						z.store.returnFromCopy()
+						z.writeSome(rng)
 					}
 					time.Sleep(propagationBound)
 					z.checkReplicas(t, fmt.Sprintf("seed %d, round %d, fault at %q", seed, round, victim), victim)
@@ -356,6 +381,13 @@
 	}
 }
 
+// writeSome writes and removes a few rows.
+func (z *simZone) writeSome(rng *rand.Rand) {
+	for range 1 + rng.IntN(4) {
+		z.store.write(strconv.Itoa(rng.IntN(8)), rng.IntN(3) == 0)
+	}
+}
+
 // checkReplicas compares the replicas with the table, except the victim's.
 func (z *simZone) checkReplicas(t *testing.T, when, victim string) {
 	t.Helper()
@@ -366,7 +398,7 @@
 			continue
 		}
 		v.mu.Lock()
-		if !maps.EqualFunc(v.rows, z.store.rows, func(a, b chivefollow.Row) bool { return a.Version == b.Version }) {
+		if !maps.EqualFunc(v.rows, z.store.rows, func(a, b chivefollow.Row) bool { return a.Version == b.Version && string(a.Value) == string(b.Value) }) {
 			t.Errorf("%s: %s has %d rows that differ from the table's %d", when, name, len(v.rows), len(z.store.rows))
 		}
 		v.mu.Unlock()
@@ -411,7 +443,7 @@
 func TestJournal(t *testing.T) {
 	for seed := range uint64(40) {
 		rng := rand.New(rand.NewPCG(seed, 23))
-		s := &fakeStore{rows: map[string]chivefollow.Row{}, version: 1}
+		s := &fakeStore{rows: map[string]chivefollow.Row{}, version: 1, era: 1}
 		j := &Journal{}
 		a := storeAccess{store: s}
 		read, err := a.Read(t.Context(), tableName)
@@ -439,7 +471,7 @@
 					continue
 				}
 				got := maps.Clone(rows)
-				changes := j.ChangesSince(version)
+				changes := j.ChangesSince(chivefollow.Position{Era: s.era, Version: version})
 				if changes.Snapshot {
 					got = map[string]chivefollow.Row{}
 				}
--- a/internal/run/chivehub/journal.go
+++ b/internal/run/chivehub/journal.go
@@ -16,6 +16,8 @@
 	// the store's version up to which the replica is complete.
 	LastChange int64 `cbor:"changed"`
 	Version    int64 `cbor:"version"`
+	// Era is the era of the store to which both belong.
+	Era int64 `cbor:"era,omitempty"`
 }
 
 // Journal is a replica of a table that can list the changes after a version. The zero
@@ -32,10 +34,17 @@
 	recoveredAt   chiveclock.Moment
 }
 
-// Apply applies a page that was read from the store or from a hub.
+// Apply applies a page that was read from the store or from a hub. Pages of an earlier
+// era, and changes of a later one, are ignored: the latter do not continue the replica.
 func (j *Journal) Apply(p chivefollow.Page) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	if p.Era < j.revision.Era || p.Era > j.revision.Era && !p.Snapshot {
+		return
+	}
+	if p.Era > j.revision.Era {
+		j.revision = Revision{Era: p.Era}
+	}
 	if p.Snapshot {
 		j.rows, j.removed = map[string]chivefollow.Row{}, map[string]chivefollow.Row{}
 		j.completeSince = p.Version
@@ -76,12 +85,14 @@
 	return j.revision
 }
 
-// ChangesSince returns the changes after a version, or the whole table if the journal
-// does not know all of them.
-func (j *Journal) ChangesSince(version int64) chivefollow.Page {
+// ChangesSince returns the changes after a position, or the whole table if the journal
+// does not know all of them or is of another era.
+func (j *Journal) ChangesSince(after chivefollow.Position) chivefollow.Page {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	p := chivefollow.Page{Version: j.revision.Version, Confirmed: j.confirmedAt, Recovered: j.recoveredAt, Snapshot: version < j.completeSince}
+	version := after.Version
+	p := chivefollow.Page{Era: j.revision.Era, Version: j.revision.Version, Confirmed: j.confirmedAt, Recovered: j.recoveredAt}
+	p.Snapshot = version < j.completeSince || after.Era != j.revision.Era
 	for _, r := range j.rows {
 		if p.Snapshot || r.Version > version {
 			p.Rows = append(p.Rows, r)
--- a/internal/run/chivehub/replica.go
+++ b/internal/run/chivehub/replica.go
@@ -35,6 +35,8 @@
 type ReplicaPage struct {
 	Rows    []chivefollow.Row `cbor:"rows"`
 	Version int64             `cbor:"version"`
+	// Era is the era of the store to which the rows belong.
+	Era int64 `cbor:"era,omitempty"`
 	// Whole is set if Rows is the whole table.
 	Whole bool `cbor:"whole"`
 	// Age is the time since the replica was last known to be up to date, or negative
@@ -73,9 +75,16 @@
 		if !j.loaded() {
 			return echo.NewHTTPError(http.StatusNotFound, "table is not known")
 		}
-		page := j.ChangesSince(after)
+		// Processes that know no eras send none, and ask for changes of this one.
+		era := j.Revision().Era
+		if text := c.QueryParam("era"); text != "" {
+			if era, err = strconv.ParseInt(text, 10, 64); err != nil {
+				return echo.NewHTTPError(http.StatusBadRequest, "era: not a number")
+			}
+		}
+		page := j.ChangesSince(chivefollow.Position{Era: era, Version: after})
 		data, err := cbor.Marshal(&ReplicaPage{
-			Rows: page.Rows, Version: page.Version, Whole: page.Snapshot, Age: s.Clock.Age(page.Confirmed), SinceRecovery: s.Clock.Age(page.Recovered),
+			Rows: page.Rows, Version: page.Version, Era: page.Era, Whole: page.Snapshot, Age: s.Clock.Age(page.Confirmed), SinceRecovery: s.Clock.Age(page.Recovered),
 		})
 		if err != nil {
 			return Error.Wrap(err)
@@ -96,8 +105,8 @@
 }
 
 // Changes implements Replicas.Changes.
-func (c *Client) Changes(ctx context.Context, hub *Hub, table string, after int64) (chivefollow.Page, error) {
-	query := url.Values{"table": {table}, "after": {strconv.FormatInt(after, 10)}}
+func (c *Client) Changes(ctx context.Context, hub *Hub, table string, after chivefollow.Position) (chivefollow.Page, error) {
+	query := url.Values{"table": {table}, "after": {strconv.FormatInt(after.Version, 10)}, "era": {strconv.FormatInt(after.Era, 10)}}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+hub.Addr+replicasPath+"?"+query.Encode(), nil)
 	if err != nil {
 		return chivefollow.Page{}, Error.Wrap(err)
@@ -122,7 +131,7 @@
 	if err := replica.Validate(); err != nil {
 		return chivefollow.Page{}, err
 	}
-	page := chivefollow.Page{Rows: replica.Rows, Version: replica.Version, Snapshot: replica.Whole}
+	page := chivefollow.Page{Rows: replica.Rows, Era: replica.Era, Version: replica.Version, Snapshot: replica.Whole}
 	if replica.Age >= 0 {
 		page.Confirmed = sent.Add(-replica.Age)
 	}
--- a/internal/run/chivehub/replica_test.go
+++ b/internal/run/chivehub/replica_test.go
@@ -53,7 +53,7 @@
 		whole bool
 	}{{-1, 1, true}, {7, 1, false}, {9, 0, false}}
 	for _, tt := range tests {
-		page, err := NewClient().Changes(t.Context(), hub, tableName, tt.after)
+		page, err := NewClient().Changes(t.Context(), hub, tableName, chivefollow.Position{Version: tt.after})
 		if err != nil || page.Version != 9 || page.Snapshot != tt.whole || len(page.Rows) != tt.rows {
 			t.Errorf("after %d: version %d, whole %t, %d rows, %v", tt.after, page.Version, page.Snapshot, len(page.Rows), err)
 		}
@@ -64,7 +64,7 @@
 	if got := count.Load(); got > int64(config.Len())/10 {
 		t.Errorf("%d bytes were sent for a configuration of %d bytes", got, config.Len())
 	}
-	if _, err := NewClient().Changes(t.Context(), hub, "unknown", 0); err == nil {
+	if _, err := NewClient().Changes(t.Context(), hub, "unknown", chivefollow.Position{}); err == nil {
 		t.Error("a read of an unknown table succeeded")
 	}
 }
--- a/internal/run/chivehub/source.go
+++ b/internal/run/chivehub/source.go
@@ -39,9 +39,9 @@
 
 // Replicas reads the replicas of hubs.
 type Replicas interface {
-	// Changes returns the changes in a hub's replica after a version, or the whole
+	// Changes returns the changes in a hub's replica after a position, or the whole
 	// table if the hub does not know all of them.
-	Changes(ctx context.Context, hub *Hub, table string, after int64) (chivefollow.Page, error)
+	Changes(ctx context.Context, hub *Hub, table string, after chivefollow.Position) (chivefollow.Page, error)
 }
 
 // Zone is this entry VM's view of its zone.
@@ -74,6 +74,8 @@
 
 	mu     sync.Mutex
 	tables map[string]*table
+	// era is the latest era of the store that was seen.
+	era int64
 	// storeAnsweredAt is when the last successful call for LivenessTable returned.
 	storeAnsweredAt chiveclock.Moment
 	// failedHub is the last hub that failed. It is not used before failedHubUntil.
@@ -172,8 +174,8 @@
 	if err := s.waitForTurn(ctx, t); err != nil {
 		return chivefollow.Page{}, err
 	}
-	if h := s.usableHub(); h != nil && h.Revisions[name].Version > 0 {
-		if page, err := s.fetch(ctx, h, name, -1); err == nil {
+	if h := s.usableHub(); h != nil && h.Revisions[name].Version > 0 && h.Revisions[name].Era >= s.latestEra() {
+		if page, err := s.fetch(ctx, h, name, wholeTable); err == nil {
 			return page, nil
 		}
 	}
@@ -182,15 +184,17 @@
 }
 
 // Changes implements chivefollow.Source.Changes.
-func (s *Source) Changes(ctx context.Context, name string, after int64, wait time.Duration) (chivefollow.Page, error) {
+func (s *Source) Changes(ctx context.Context, name string, after chivefollow.Position, wait time.Duration) (chivefollow.Page, error) {
 	t := s.table(name)
 	for until := s.Clock.Now().Add(wait); ; {
 		h := s.usableHub()
-		if h == nil || h.Revisions[name].Version == 0 {
+		// A hub of an earlier era does not know yet that the store has returned from an
+		// older copy.
+		if h == nil || h.Revisions[name].Version == 0 || h.Revisions[name].Era < after.Era {
 			return s.storeChanges(ctx, t, name, after, wait)
 		}
 		t.fromHub = true
-		if h.Revisions[name].LastChange > after {
+		if h.Revisions[name].Era > after.Era || h.Revisions[name].LastChange > after.Version {
 			if page, err := s.fetch(ctx, h, name, after); err == nil {
 				return page, nil
 			}
@@ -201,15 +205,15 @@
 			continue
 		}
 		// The hub's replica has no change between after and its version.
-		page := chivefollow.Page{Version: max(after, h.Revisions[name].Version)}
+		page := chivefollow.Page{Era: after.Era, Version: max(after.Version, h.Revisions[name].Version)}
 		t.journal.Apply(page)
 		s.clearFailure(t)
 		return page, ctx.Err()
 	}
 }
 
-// storeChanges returns the changes after a version from the store.
-func (s *Source) storeChanges(ctx context.Context, t *table, name string, after int64, wait time.Duration) (chivefollow.Page, error) {
+// storeChanges returns the changes after a position from the store.
+func (s *Source) storeChanges(ctx context.Context, t *table, name string, after chivefollow.Position, wait time.Duration) (chivefollow.Page, error) {
 	if err := s.waitForTurn(ctx, t); err != nil {
 		return chivefollow.Page{}, err
 	}
@@ -267,6 +271,7 @@
 	if t.failedAt != 0 {
 		t.failedAt, page.Recovered = 0, now
 	}
+	s.era = max(s.era, page.Era)
 	if name == s.LivenessTable {
 		s.storeAnsweredAt = now
 	}
@@ -274,6 +279,13 @@
 	return nil
 }
 
+// latestEra returns the latest era of the store that was seen.
+func (s *Source) latestEra() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 // clearFailure clears the failure of a table's last call to the store, after a hub
 // returned data.
 func (s *Source) clearFailure(t *table) {
@@ -282,9 +294,12 @@
 	t.failedAt = 0
 }
 
-// fetch returns the changes after a version from a hub, or the whole table for a
-// negative version. A hub that fails is not used for failedHubBackoff.
-func (s *Source) fetch(ctx context.Context, h *Hub, name string, after int64) (chivefollow.Page, error) {
+// wholeTable is a position before every change.
+var wholeTable = chivefollow.Position{Version: -1}
+
+// fetch returns the changes after a position from a hub. A hub that fails is not used
+// for failedHubBackoff.
+func (s *Source) fetch(ctx context.Context, h *Hub, name string, after chivefollow.Position) (chivefollow.Page, error) {
 	page, err := s.Replicas.Changes(ctx, h, name, after)
 	if err != nil {
 		s.Log.Warn("Replica cannot be read from the hub.", "hub", h.Name, "table", name, "error", err)
@@ -296,5 +311,8 @@
 	t := s.table(name)
 	t.journal.Apply(page)
 	s.clearFailure(t)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era = max(s.era, page.Era)
 	return page, nil
 }
--- a/internal/state/chivefollow/follower.go
+++ b/internal/state/chivefollow/follower.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -26,9 +27,22 @@
 	Removed bool `cbor:"removed,omitempty"`
 }
 
+// Position is a point in the history of the store. A store that returned from an
+// older copy has lost its last versions and gives their numbers out again, in a later
+// era, so that versions of different eras cannot be compared.
+type Position struct {
+	// Era counts how often the store has returned from an older copy; 0 if the store
+	// does not say.
+	Era int64
+	// Version is the version of the store within the era.
+	Version int64
+}
+
 // Page holds all rows of a table or the changes after a version.
 type Page struct {
 	Rows []Row
+	// Era is the era of the store that answered.
+	Era int64
 	// Version is the newest version of the store.
 	Version int64
 	// Snapshot reports that Rows is the whole table instead of changes.
@@ -45,10 +59,11 @@
 type Source interface {
 	// Read returns all rows of a table, with Snapshot set.
 	Read(ctx context.Context, table string) (Page, error)
-	// Changes returns the changes after a version. It waits for the first of them,
+	// Changes returns the changes after a position. It waits for the first of them,
 	// and returns a page without rows if there is none within the wait. Its error
-	// wraps ErrCompacted if the store no longer has these changes.
-	Changes(ctx context.Context, table string, after int64, wait time.Duration) (Page, error)
+	// wraps ErrCompacted if the store no longer has these changes. If the page is of
+	// another era, its changes are not those after the position.
+	Changes(ctx context.Context, table string, after Position, wait time.Duration) (Page, error)
 }
 
 const (
@@ -69,6 +84,11 @@
 	// Recovered is the newest moment at which the store answered again after a
 	// failure; 0 if no failure was seen.
 	Recovered chiveclock.Moment
+	// Era is the era of the store to which the rows belong.
+	Era int64
+	// Restored is the moment at which the store was first seen to have returned from
+	// an older copy in this era; 0 if it was not.
+	Restored chiveclock.Moment
 }
 
 // Follower keeps a replica of one table up to date.
@@ -107,7 +127,8 @@
 }
 
 // step makes one call, applies the page and passes the replica to OnUpdate. If the
-// store no longer has the changes, the next step reads the whole table.
+// store no longer has the changes, or has returned from an older copy, the next step
+// reads the whole table.
 func (f *Follower) step(ctx context.Context) error {
 	page, err := f.call(ctx)
 	if errors.Is(err, ErrCompacted) {
@@ -123,6 +144,20 @@
 		f.failing, f.table.Recovered = false, chiveclock.Now()
 	}
 	f.backoff = 0
+	if page.Era < f.table.Era {
+		// A late answer from before the store returned.
+		return fmt.Errorf("page of era %d is older than the replica of era %d", page.Era, f.table.Era)
+	}
+	if page.Era > f.table.Era && f.table.Era != 0 {
+		f.Log.Warn("Store has returned from an older copy, reading the whole table.", "table", f.Table, "era", page.Era, "version", page.Version, "before", f.version)
+		f.table.Restored = chiveclock.Now()
+	}
+	if page.Era > f.table.Era {
+		f.table.Era, f.version, f.loaded = page.Era, 0, false
+	}
+	if !f.loaded && !page.Snapshot {
+		return nil
+	}
 	f.apply(page)
 	f.OnUpdate(f.table)
 	return nil
@@ -140,14 +175,16 @@
 	if !f.loaded {
 		return f.Source.Read(ctx, f.Table)
 	}
-	return f.Source.Changes(ctx, f.Table, f.version, wait)
+	return f.Source.Changes(ctx, f.Table, Position{Era: f.table.Era, Version: f.version}, wait)
 }
 
 // apply merges a page into the replica.
 func (f *Follower) apply(page Page) {
 	if page.Snapshot {
 		f.table.Rows = make(map[string]Row, len(page.Rows))
-		f.loaded = true
+		// The rows are those of this version, even if a later one was known: the changes
+		// in between are still to come, or were lost by a store that does not say so.
+		f.loaded, f.version = true, 0
 	}
 	for _, r := range page.Rows {
 		if r.Removed {
--- a/internal/state/chivefollow/follower_test.go
+++ b/internal/state/chivefollow/follower_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -25,17 +26,53 @@
 	// compacted is the version up to which changes are no longer available.
 	compacted int64
 	version   int64
+	era       int64
+	// copies holds earlier contents; silentEra leaves the era out of answers.
+	copies    []fakeCopy
+	silentEra bool
 	// down makes calls fail at once, unresponsive makes them wait until they time
 	// out.
 	down         bool
 	unresponsive bool
 }
 
+// fakeCopy is the content of a fakeStore at some moment.
+type fakeCopy struct {
+	rows    map[string]Row
+	changes []Row
+	version int64
+}
+
+// keepCopy keeps a copy of the content for returnFromCopy.
+func (s *fakeStore) keepCopy() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.copies = append(s.copies, fakeCopy{rows: maps.Clone(s.rows), changes: slices.Clone(s.changes), version: s.version})
+}
+
+// returnFromCopy replaces the content by that of an earlier moment.
+func (s *fakeStore) returnFromCopy() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.copies[s.rng.IntN(len(s.copies))]
+	s.rows, s.changes, s.version = maps.Clone(c.rows), slices.Clone(c.changes), c.version
+	s.compacted, s.copies = min(s.compacted, s.version), nil
+	s.era++
+}
+
+// answerEra returns the era that answers bear. The caller holds s.mu.
+func (s *fakeStore) answerEra() int64 {
+	if s.silentEra {
+		return 0
+	}
+	return s.era
+}
+
 func (s *fakeStore) write(key string, removed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
-	r := Row{Key: key, Value: []byte(strconv.FormatInt(s.version, 10)), Version: s.version, Removed: removed}
+	r := Row{Key: key, Value: []byte(strconv.FormatInt(s.version, 10) + "/" + strconv.FormatInt(s.era, 10)), Version: s.version, Removed: removed}
 	s.changes = append(s.changes, r)
 	if removed {
 		delete(s.rows, key)
@@ -65,7 +102,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := Page{Version: s.version, Snapshot: true}
+	p := Page{Era: s.answerEra(), Version: s.version, Snapshot: true}
 	for _, r := range s.rows {
 		p.Rows = append(p.Rows, r)
 	}
@@ -73,12 +110,12 @@
 }
 
 // Changes implements Source.
-func (s *fakeStore) Changes(ctx context.Context, _ string, after int64, wait time.Duration) (Page, error) {
+func (s *fakeStore) Changes(ctx context.Context, _ string, after Position, wait time.Duration) (Page, error) {
 	for deadline := time.Now().Add(wait); ; {
 		if err := s.injectFault(ctx); err != nil {
 			return Page{}, err
 		}
-		p, err := s.changesAfter(after)
+		p, err := s.changesAfter(after.Version)
 		if err != nil || len(p.Rows) > 0 || time.Now().After(deadline) {
 			return p, err
 		}
@@ -93,10 +130,10 @@
 func (s *fakeStore) changesAfter(after int64) (Page, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if after < s.compacted {
+	if after < s.compacted || after > s.version {
 		return Page{}, ErrCompacted
 	}
-	p := Page{Version: s.version}
+	p := Page{Era: s.answerEra(), Version: s.version}
 	for _, r := range s.changes {
 		if r.Version > after {
 			p.Rows = append(p.Rows, r)
@@ -106,17 +143,25 @@
 }
 
 // TestFollow guards against a replica that stays incomplete or out of date after
-// calls failed or timed out, or after the store has dropped changes. It compares
-// the replica with the table after each fault has ended.
+// calls failed or timed out, or after the store has dropped changes or returned from an
+// older copy. It compares the replica with the table after each fault has ended. A
+// follower that sees no eras, the naive variant, keeps rows that the store has lost.
 func TestFollow(t *testing.T) {
-	for seed := range uint64(20) {
-		synctest.Test(t, func(t *testing.T) { testFollow(t, seed) })
+	for _, naive := range []bool{false, true} {
+		wrong := 0
+		for seed := range uint64(20) {
+			synctest.Test(t, func(t *testing.T) { wrong += testFollow(t, seed, naive) })
+		}
+		if naive != (wrong > 0) {
+			t.Errorf("naive %t: %d replicas differ from the table", naive, wrong)
+		}
 	}
 }
 
-func testFollow(t *testing.T, seed uint64) {
+// testFollow returns how often the replica differed from the table.
+func testFollow(t *testing.T, seed uint64, naive bool) (wrong int) {
 	rng := rand.New(rand.NewPCG(seed, 9))
-	s := &fakeStore{rng: rng, rows: map[string]Row{}}
+	s := &fakeStore{rng: rng, rows: map[string]Row{}, era: 1, silentEra: naive}
 	var mu sync.Mutex
 	got := Table{}
 	f := &Follower{
@@ -133,21 +178,33 @@
 	defer running.Wait()
 	defer cancel()
 	for range 12 {
+		s.keepCopy()
 		s.setFault(rng.IntN(4))
 		for range rng.IntN(30) {
 			s.write(strconv.Itoa(rng.IntN(12)), rng.IntN(3) == 0)
 			time.Sleep(time.Duration(rng.IntN(60)) * time.Millisecond)
 		}
 		s.setFault(0)
+		if rng.IntN(3) == 0 {
+			s.returnFromCopy()
+			// Versions are given out again, so that the store soon has those it lost.
+			for range rng.IntN(60) {
+				s.write(strconv.Itoa(rng.IntN(12)), rng.IntN(3) == 0)
+			}
+		}
 		time.Sleep(5 * time.Second)
 		mu.Lock()
 		s.mu.Lock()
-		if !maps.EqualFunc(got.Rows, s.rows, func(a, b Row) bool { return a.Version == b.Version }) {
-			t.Errorf("seed %d: replica holds %v, want %v", seed, got.Rows, s.rows)
+		if !maps.EqualFunc(got.Rows, s.rows, func(a, b Row) bool { return a.Version == b.Version && string(a.Value) == string(b.Value) }) {
+			wrong++
+			if !naive {
+				t.Errorf("seed %d: replica holds %v, want %v", seed, got.Rows, s.rows)
+			}
 		}
 		s.mu.Unlock()
 		mu.Unlock()
 	}
+	return wrong
 }
 
 // setFault sets the fault of the store: 0 for none, 1 for down, 2 for unresponsive,
--- a/internal/state/chivelease/keeper.go
+++ b/internal/state/chivelease/keeper.go
@@ -20,6 +20,11 @@
 // DefaultTTL is the default of Keeper.TTL.
 const DefaultTTL = 12 * time.Second
 
+// fencesPerEra is the number of fencing tokens of an era. A table that has returned from
+// an older copy may have lost the last tokens, so that those of the next era start
+// above all that it can have issued.
+const fencesPerEra = 1 << 20
+
 // holdFraction is the fraction of the TTL for which a holder relies on its own
 // lease. The rest allows for clocks that run at different rates.
 const holdFraction = 0.75
@@ -30,6 +35,8 @@
 	Holder string `cbor:"holder"`
 	// Fence is the fencing token. It grows with every change of the holder.
 	Fence uint64 `cbor:"fence"`
+	// Era is the era of the table in which the fencing token was issued.
+	Era uint64 `cbor:"era,omitempty"`
 	// State is what the last holder left for the next one.
 	State []byte `cbor:"state,omitempty"`
 }
@@ -68,6 +75,10 @@
 	fence uint64
 	// heldUntil is when this keeper stops relying on its lease.
 	heldUntil time.Time
+	// fenceEra is the era in which the fencing token was issued.
+	fenceEra uint64
+	// highestFence is the highest fencing token that is known to be in use.
+	highestFence uint64
 	// inherited is the state that was stored when this keeper acquired the lease.
 	inherited []byte
 }
@@ -88,6 +99,18 @@
 	return k.inherited
 }
 
+// Supersede records that another holder has used a fencing token. A lease with a lower
+// one is no longer held, and a token that is acquired later is higher. It is safe for
+// concurrent use.
+func (k *Keeper) Supersede(fence uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.highestFence = max(k.highestFence, fence)
+	if k.fence < fence {
+		k.fence = 0
+	}
+}
+
 // Step renews the lease, acquires it or checks whether its holder still renews it.
 // One goroutine must call it several times within the TTL.
 func (k *Keeper) Step(ctx context.Context) error {
@@ -97,7 +120,7 @@
 	}
 	row, err := k.Table.Get(ctx, k.key())
 	if errors.Is(err, chiverow.ErrNotFound) {
-		return k.write(ctx, chiverow.Row{}, Record{Holder: k.Holder, Fence: 1}, began)
+		return k.acquire(ctx, chiverow.Row{Era: row.Era}, Record{}, began)
 	}
 	if err != nil {
 		return Error.Wrap(err)
@@ -106,11 +129,11 @@
 	if err := cbor.Unmarshal(row.Value, &record); err != nil {
 		return Error.Wrap(err)
 	}
-	if record.Holder == k.Holder {
+	if record.Holder == k.Holder && record.Era == row.Era && record.Fence >= k.highest() {
 		return k.write(ctx, row, record, began)
 	}
 	k.clearFence()
-	if record.Holder == "" || k.HasEnded != nil && k.HasEnded(record.Holder) {
+	if record.Holder == k.Holder || record.Holder == "" || k.HasEnded != nil && k.HasEnded(record.Holder) {
 		return k.acquire(ctx, row, record, began)
 	}
 	if row.Version != k.seenVersion {
@@ -123,12 +146,20 @@
 	return k.acquire(ctx, row, record, began)
 }
 
+// highest returns the highest fencing token that is known to be in use.
+func (k *Keeper) highest() uint64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.highestFence
+}
+
 // acquire takes the lease over from the holder of the stored record.
 func (k *Keeper) acquire(ctx context.Context, row chiverow.Row, stored Record, began time.Time) error {
 	k.mu.Lock()
 	k.inherited = stored.State
+	fence := max(stored.Fence, k.highestFence, row.Era*fencesPerEra) + 1
 	k.mu.Unlock()
-	return k.write(ctx, row, Record{Holder: k.Holder, Fence: stored.Fence + 1, State: stored.State}, began)
+	return k.write(ctx, row, Record{Holder: k.Holder, Fence: fence, Era: row.Era, State: stored.State}, began)
 }
 
 // currentState returns the state to store with a renewal.
@@ -158,14 +189,20 @@
 	if record.Holder != k.Holder || record.Fence != fence {
 		return nil
 	}
-	return k.put(ctx, row, Record{Fence: fence, State: k.currentState()})
+	return k.put(ctx, row, Record{Fence: fence, Era: record.Era, State: k.currentState()})
 }
 
 // renew rewrites the row of a held lease without reading it first and reports
 // whether that succeeded. After a failure the row must be read.
 func (k *Keeper) renew(ctx context.Context, began time.Time) bool {
-	old := chiverow.Row{Version: k.writtenVersion}
-	return k.write(ctx, old, Record{Holder: k.Holder, Fence: k.fence, State: k.currentState()}, began) == nil
+	k.mu.Lock()
+	record := Record{Holder: k.Holder, Fence: k.fence, Era: k.fenceEra}
+	k.mu.Unlock()
+	if record.Fence == 0 {
+		return false
+	}
+	record.State = k.currentState()
+	return k.write(ctx, chiverow.Row{Version: k.writtenVersion}, record, began) == nil
 }
 
 // write writes a record with this keeper as the holder over the row old. The lease
@@ -177,7 +214,12 @@
 	k.writtenVersion = old.Version + 1
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.fence = record.Fence
+	if record.Fence < k.highestFence {
+		// A higher token was seen during the write.
+		k.fence = 0
+		return nil
+	}
+	k.fence, k.fenceEra, k.highestFence = record.Fence, record.Era, record.Fence
 	k.heldUntil = began.Add(time.Duration(float64(k.ttl()) * holdFraction))
 	return nil
 }
--- a/internal/state/chiverank/rank.go
+++ b/internal/state/chiverank/rank.go
@@ -99,6 +99,8 @@
 type Lease interface {
 	// Held returns the fencing token and whether the lease is held now.
 	Held() (uint64, bool)
+	// Supersede records that a rank has a map of a later holder, and its token.
+	Supersede(fence uint64)
 }
 
 // ExpertCounts holds how often the requests of a rank have chosen each expert.
--- a/internal/state/chiverank/switcher.go
+++ b/internal/state/chiverank/switcher.go
@@ -284,10 +284,16 @@
 	}
 }
 
-// superseded reports whether a rank has a map of a later leaseholder.
+// superseded reports whether a rank has a map of a later leaseholder, and tells the
+// lease.
 func (s *Switcher) superseded(r Report) bool {
 	fence, _ := s.Lease.Held()
-	return max(r.Map, r.Prepared, r.Armed)>>tokenSeqBits > int64(fence)
+	newest := uint64(max(r.Map, r.Prepared, r.Armed)) >> tokenSeqBits
+	if newest <= fence {
+		return false
+	}
+	s.Lease.Supersede(newest)
+	return true
 }
 
 // Recover rolls back a change that another leaseholder left unfinished. It
--- a/internal/state/chiverank/switcher_test.go
+++ b/internal/state/chiverank/switcher_test.go
@@ -188,6 +188,13 @@
 	return l.fence, !l.lost
 }
 
+// Supersede implements Lease.Supersede.
+func (l *fakeLease) Supersede(uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lost = true
+}
+
 func members(n int) []Member {
 	list := make([]Member, n)
 	for i := range list {
--- a/internal/state/chiverow/row.go
+++ b/internal/state/chiverow/row.go
@@ -21,6 +21,10 @@
 	// Version is the number of writes to the row, starting at 1.
 	Version uint64
 	Value   []byte
+	// Era counts how often the table has returned from an older copy, which loses rows
+	// and gives their versions out again; 0 if it never does. It is set by Get,
+	// also if the row does not exist.
+	Era uint64
 	// Expires is when the platform may delete the row; the zero time means never.
 	Expires time.Time
 }
