--- a/cmd/chiveyoke-soak/site.go
+++ b/cmd/chiveyoke-soak/site.go
@@ -41,6 +41,7 @@
 	flags.IntVar(&seeds, "seeds", 1, "number of consecutive seeds, with one run each")
 	flags.IntVar(&jobs, "jobs", 3, "number of parallel runs")
 	flags.DurationVar(&template.FaultDuration, "time", 10*time.Second, "how long faults are injected in each run")
+	flags.BoolVar(&template.OlderCopies, "copies", false, "let the store return from older copies beside the other faults")
 	flags.IntVar(&template.EntryVMs, "entries", 4, "number of entry VMs")
 	flags.IntVar(&template.Runners, "runners", 3, "number of runners")
 	flags.StringVar(&logDir, "logs", "", "directory for settings and logs; they are deleted if it is not set")
--- a/internal/bench/chiveplatform/site_test.go
+++ b/internal/bench/chiveplatform/site_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/chiveyoke/chiveyoke/internal/run/chivecommand"
+	"github.com/chiveyoke/chiveyoke/platform"
 )
 
 // entryProgram is the path of the entry VM daemon, which TestMain builds.
@@ -271,6 +272,58 @@
 	}
 }
 
+// TestOlderCopyOfStore checks that entry VMs follow a store that returns from an older
+// copy and gives versions out again: their lost registrations are written again, a
+// configuration that was accepted since stays in force, and later ones are taken.
+func TestOlderCopyOfStore(t *testing.T) {
+	s := startSite(t, 9, 3, 2)
+	older := s.Store.Copy()
+	if err := s.Configure("k2"); err != nil {
+		t.Fatal(err)
+	}
+	send := func(id, key string) int {
+		return Send(t.Context(), &http.Client{}, s.EntryVMs[0].CallerAddress(), "once", id, key).Status
+	}
+	waitForStatus(t, func(id string) int { return send(id, "k1") }, http.StatusUnauthorized)
+	// The rows of entry VMs since the start of the site are lost, those of operators
+	// and runners are not.
+	for key := range older.tables[platform.TableSystem] {
+		delete(older.tables[platform.TableSystem], key)
+	}
+	s.Store.ReturnFrom(older, IsSystemTable)
+	if status := send("after-return", "k1"); status == http.StatusOK {
+		t.Error("a key that was taken away is admitted after the store has returned")
+	}
+	waitForStatus(t, func(id string) int { return send(id, "k2") }, http.StatusOK)
+	if err := s.Configure("k3"); err != nil {
+		t.Fatal(err)
+	}
+	waitForStatus(t, func(id string) int { return send(id, "k3") }, http.StatusOK)
+	deadline := time.Now().Add(5 * time.Second)
+	for len(s.Store.Copy().tables[platform.TableSystem]) < len(s.EntryVMs) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d of %d entry VMs are registered again", len(s.Store.Copy().tables[platform.TableSystem]), len(s.EntryVMs))
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// waitForStatus sends requests until one is answered with the given status.
+func waitForStatus(t *testing.T, send func(id string) int, want int) {
+	t.Helper()
+	deadline := time.Now().Add(8 * time.Second)
+	for i := 0; ; i++ {
+		got := send(fmt.Sprintf("wait-%d-%d", time.Now().UnixNano(), i))
+		if got == want {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("status is %d, want %d", got, want)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
 // regressionSeeds holds seeds of soak runs that failed before, each with the cause, and
 // one for CI.
 var regressionSeeds = []struct {
@@ -295,3 +348,17 @@
 		t.Logf("seed %d: %+v", tt.seed, result)
 	}
 }
+
+// TestSoakOlderCopies checks that runs in which the store also returns from older copies
+// violate no guarantee.
+func TestSoakOlderCopies(t *testing.T) {
+	s := &Soak{Program: entryProgram, Seed: 3, FaultDuration: 8 * time.Second, OlderCopies: true, EntryVMs: 4, Runners: 3, Dir: t.TempDir(), Net: testNet(20)}
+	result, err := s.Run(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, v := range result.Violations {
+		t.Error(v)
+	}
+	t.Logf("%+v", result)
+}
--- a/internal/bench/chiveplatform/soak.go
+++ b/internal/bench/chiveplatform/soak.go
@@ -40,6 +40,8 @@
 	Seed uint64
 	// FaultDuration is how long faults are injected.
 	FaultDuration time.Duration
+	// OlderCopies makes the store return from older copies beside the other faults.
+	OlderCopies bool
 	// EntryVMs and Runners are the numbers of entry VMs and of runners.
 	EntryVMs int
 	Runners  int
@@ -110,7 +112,14 @@
 	for i := range callerCount {
 		senders.Go(func() { p.runCaller(loadCtx, i) })
 	}
+	copies, endCopies := context.WithCancel(ctx)
+	var returning sync.WaitGroup
+	if p.OlderCopies {
+		returning.Go(func() { p.returnFromCopies(copies) })
+	}
 	p.injectFaults(ctx)
+	endCopies()
+	returning.Wait()
 	time.Sleep(settleTime)
 	recoveryStart := time.Now()
 	time.Sleep(recoveryWindow)
@@ -193,6 +202,26 @@
 	p.site.Store.SetFault(StoreHealthy)
 }
 
+// returnFromCopies makes the store return from a copy some seconds old, again and
+// again, until the context ends.
+func (p *soakRun) returnFromCopies(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(p.Seed, 2))
+	for ctx.Err() == nil {
+		older := p.site.Store.Copy()
+		age := time.NewTimer(time.Duration(1000+rng.IntN(3000)) * time.Millisecond)
+		select {
+		case <-ctx.Done():
+			age.Stop()
+			return
+		case <-age.C:
+		}
+		p.site.Store.ReturnFrom(older, IsSystemTable)
+		p.mu.Lock()
+		p.result.Faults["store returned from an older copy"]++
+		p.mu.Unlock()
+	}
+}
+
 // drawFault returns the name of a random fault and a function that injects it. The
 // function takes the duration of the fault and returns when the fault has ended.
 func (p *soakRun) drawFault(rng *rand.Rand) (string, func(time.Duration)) {
--- a/internal/bench/chiveplatform/store.go
+++ b/internal/bench/chiveplatform/store.go
@@ -74,6 +74,12 @@
 	return &Store{tables: map[string]map[string]platform.Row{}, era: 1}
 }
 
+// IsSystemTable reports whether the load balancer writes a table, whose rows are not
+// written again by others when the store has lost them.
+func IsSystemTable(table string) bool {
+	return table == platform.TableSystem || table == platform.TableLeases
+}
+
 // Copy returns a copy of the content.
 func (s *Store) Copy() *StoreCopy {
 	s.mu.Lock()
--- a/internal/run/chiveentry/daemon.go
+++ b/internal/run/chiveentry/daemon.go
@@ -144,6 +144,8 @@
 	meter     *chivemeter.Meter
 	// leaving reports whether the process was told to stop.
 	leaving atomic.Bool
+	// registrationLost receives a value when the store has lost the row of this entry VM.
+	registrationLost chan struct{}
 	// peersKnownAt is the moment at which the registered entry VMs were first read
 	// from the store, 0 before.
 	peersKnownAt atomic.Int64
@@ -152,12 +154,13 @@
 // New returns a new Daemon. It sets settings.Entry.Boot to a random incarnation.
 func New(settings Settings, deps Dependencies) *Daemon {
 	settings.Entry.Boot = rand.Uint64() | 1
-	d := &Daemon{settings: settings, deps: deps, meter: chivemeter.New(), logWriter: chivelog.NewWriter(deps.LogOutput)}
+	d := &Daemon{settings: settings, deps: deps, meter: chivemeter.New(), registrationLost: make(chan struct{}, 1), logWriter: chivelog.NewWriter(deps.LogOutput)}
 	d.log = log.NewWithOptions(d.logWriter, log.Options{
 		Prefix: "entry", Formatter: log.JSONFormatter, ReportTimestamp: true,
 		TimeFormat: "2006-01-02T15:04:05.000Z07:00",
 	}).With("process", settings.Entry.Name)
 	d.tracker = NewTracker(deps.Codec, d.log.WithPrefix("fleet"))
+	d.tracker.entriesRestored = d.checkRegistration
 	runners := chiverelay.NewRunnerState(settings.Entry.Name, settings.RetryLimits)
 	d.balancer = &chivebalance.Balancer{
 		Engine: deps.Engine, Table: deps.Leases, Name: processName(settings.Entry, settings.Entry.Boot),
--- a/internal/run/chiveentry/tracker.go
+++ b/internal/run/chiveentry/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -18,6 +19,13 @@
 	// missingRowGrace is how long after an outage of the store a runner is kept
 	// although its row is missing. Runners renew their rows within about two seconds.
 	missingRowGrace = 2300 * time.Millisecond
+	// restoreGrace is how long after the store has returned from an older copy its rows
+	// of operators are not relied on to be the newest: operators and runners write again
+	// what was lost.
+	restoreGrace = time.Second
+	// tombstoneAge is how long the registration of a runner that has gone is remembered,
+	// so that an older copy of the store does not bring it back.
+	tombstoneAge = 30 * time.Second
 	// expiryInterval is the time between two checks for runners to expire.
 	expiryInterval = 200 * time.Millisecond
 )
@@ -50,8 +58,23 @@
 	// malformedVersions holds the versions of malformed rows by key, so that each is
 	// logged once.
 	malformedVersions map[string]int64
-	// configRowVersion is the version of the row that holds the configuration.
-	configRowVersion int64
+	// configRowVersion is the version of the row that holds the configuration, in the
+	// era configRowEra of the store; storedConfig is the version of the configuration in
+	// that row, 0 if it is malformed.
+	configRowVersion, configRowEra int64
+	storedConfig                   int64
+	// runnersEra is the era of the runners' rows.
+	runnersEra int64
+	// tombstones holds the last registrations of runners that have gone, by ID.
+	tombstones map[string]tombstone
+	// lastRestore is when the store was last seen to have returned from an older copy,
+	// 0 if it has not.
+	lastRestore chiveclock.Moment
+	// entriesRestored is called when the store has returned from an older copy, with
+	// the rows of entry VMs that it has then.
+	entriesRestored func(entries map[string]chivefleet.Entry)
+	// entriesEra is the era of the rows of entry VMs.
+	entriesEra int64
 	// lastRecovery is when the store last answered again after a failure, 0 if it has
 	// not failed.
 	lastRecovery chiveclock.Moment
@@ -65,10 +88,16 @@
 	expiresAt chiveclock.Moment
 }
 
+// tombstone is the registration of a runner that has gone.
+type tombstone struct {
+	version int64
+	goneAt  chiveclock.Moment
+}
+
 // NewTracker returns a new Tracker with an empty view.
 func NewTracker(codec Codec, logger *log.Logger) *Tracker {
 	t := &Tracker{
-		codec: codec, log: logger, runners: map[string]trackedRunner{}, malformedVersions: map[string]int64{},
+		codec: codec, log: logger, runners: map[string]trackedRunner{}, malformedVersions: map[string]int64{}, tombstones: map[string]tombstone{},
 		operatorTables: make(chan chivefollow.Table), runnerTables: make(chan chivefollow.Table), entryTables: make(chan chivefollow.Table),
 	}
 	t.fleet.Store(&chivefleet.Fleet{})
@@ -107,16 +136,30 @@
 	t.fleet.Store(&next)
 }
 
-// recordRecovery updates lastRecovery from a replica of a table.
+// recordRecovery updates lastRecovery and lastRestore from a replica of a table. Rows
+// that an older copy lacks are missing as after an outage.
 func (t *Tracker) recordRecovery(table chivefollow.Table) {
-	t.lastRecovery = max(t.lastRecovery, table.Recovered)
+	t.lastRestore = max(t.lastRestore, table.Restored)
+	t.lastRecovery = max(t.lastRecovery, table.Recovered, table.Restored)
+}
+
+// restoredWithin reports whether the store returned from an older copy less than d ago.
+func (t *Tracker) restoredWithin(d time.Duration) bool {
+	return t.lastRestore != 0 && chiveclock.Since(t.lastRestore) < d
 }
 
 // applyOperators publishes the configuration, its confirmation and the evacuated zones
 // of the operators' table.
 func (t *Tracker) applyOperators(table chivefollow.Table) {
 	t.recordRecovery(table)
+	if table.Era != t.configRowEra {
+		t.configRowEra, t.configRowVersion, t.storedConfig = table.Era, 0, 0
+	}
 	evacuated := map[string]bool{}
+	if t.restoredWithin(missingRowGrace) {
+		// The copy may be older than the evacuation.
+		maps.Copy(evacuated, t.fleet.Load().EvacuatedZones)
+	}
 	var config *chivefleet.Config
 	for key, r := range table.Rows {
 		isConfig, zone := t.codec.Operator(key)
@@ -139,13 +182,26 @@
 		}
 	}
 	t.publish(func(f *chivefleet.Fleet) {
-		f.EvacuatedZones, f.ConfigConfirmedAt = evacuated, table.Confirmed
+		f.EvacuatedZones = evacuated
 		if config != nil {
 			f.Config = config
 		}
+		if t.confirmsConfig(table, f.Config) {
+			f.ConfigConfirmedAt = table.Confirmed
+		}
 	})
 }
 
+// confirmsConfig reports whether a replica shows that the configuration in force is the
+// newest. An older copy of the store may lack a newer one that took a key away, until
+// operators have written it again.
+func (t *Tracker) confirmsConfig(table chivefollow.Table, inForce *chivefleet.Config) bool {
+	if inForce == nil || t.lastRestore == 0 {
+		return true
+	}
+	return t.storedConfig >= inForce.Version && table.Confirmed.Sub(t.lastRestore) >= restoreGrace
+}
+
 // decodeConfig returns the configuration of a row, or nil if it is malformed or older
 // than the one in force. It logs the result.
 func (t *Tracker) decodeConfig(r chivefollow.Row) *chivefleet.Config {
@@ -154,7 +210,7 @@
 		t.logMalformed(r, err)
 		return nil
 	}
-	t.configRowVersion = r.Version
+	t.configRowVersion, t.storedConfig = r.Version, c.Version
 	if current := t.fleet.Load().Config; current != nil && c.Version < current.Version {
 		t.log.Warn("Configuration is older than the one in force.", "version", c.Version, "force", current.Version)
 		return nil
@@ -178,9 +234,17 @@
 func (t *Tracker) applyRunners(table chivefollow.Table) {
 	t.recordRecovery(table)
 	now := chiveclock.Now()
+	restored := table.Era != t.runnersEra
+	t.runnersEra = table.Era
+	if restored {
+		clear(t.malformedVersions)
+	}
 	for key, r := range table.Rows {
 		known, ok := t.runners[key]
-		if ok && known.version == r.Version {
+		if gone, ok := t.tombstones[key]; ok && t.lastRestore != 0 && gone.version == r.Version && now.Sub(gone.goneAt) < tombstoneAge {
+			continue
+		}
+		if ok && known.version == r.Version && !restored {
 			known.expiresAt = 0
 			t.runners[key] = known
 			continue
@@ -194,6 +258,10 @@
 			t.removeRunner(key, "entry is malformed")
 			continue
 		}
+		if ok && known.runner.Leaving && known.runner.Incarnation() == runner.Incarnation() {
+			// A runner that leaves does not come back; its row may be of an older copy.
+			runner.Leaving = true
+		}
 		t.logChange(known.runner, runner, r.Version)
 		t.runners[key] = trackedRunner{runner: runner, version: r.Version}
 	}
@@ -225,10 +293,12 @@
 
 // removeRunner removes a runner, if it is known, and logs the reason.
 func (t *Tracker) removeRunner(id, why string) {
-	if _, ok := t.runners[id]; !ok {
+	known, ok := t.runners[id]
+	if !ok {
 		return
 	}
 	delete(t.runners, id)
+	t.tombstones[id] = tombstone{version: known.version, goneAt: chiveclock.Now()}
 	t.log.Info("Runner is gone.", "runner", id, "why", why)
 }
 
@@ -236,6 +306,11 @@
 // of the store.
 func (t *Tracker) expireRunners() {
 	now := chiveclock.Now()
+	for id, gone := range t.tombstones {
+		if now.Sub(gone.goneAt) > tombstoneAge {
+			delete(t.tombstones, id)
+		}
+	}
 	dropped := false
 	for id, known := range t.runners {
 		if known.expiresAt != 0 && now >= known.expiresAt {
@@ -260,7 +335,9 @@
 // entryPrefix precedes the names of entry VMs in the keys of the system's table.
 const entryPrefix = "entry/"
 
-// applyEntries publishes the entry VMs of the system's table.
+// applyEntries publishes the entry VMs of the system's table. Those whose rows an older
+// copy of the store lacks are kept until they had time to write them again, since all
+// entry VMs share the limits on what is sent to runners.
 func (t *Tracker) applyEntries(table chivefollow.Table) {
 	t.recordRecovery(table)
 	entries := map[string]chivefleet.Entry{}
@@ -276,5 +353,16 @@
 		}
 		entries[name] = e
 	}
+	if table.Restored != 0 && table.Era != t.entriesEra && t.entriesRestored != nil {
+		t.entriesRestored(maps.Clone(entries))
+	}
+	t.entriesEra = table.Era
+	if t.restoredWithin(missingRowGrace) {
+		for name, e := range t.fleet.Load().Entries {
+			if _, ok := entries[name]; !ok {
+				entries[name] = e
+			}
+		}
+	}
 	t.publish(func(f *chivefleet.Fleet) { f.Entries = entries })
 }
--- a/internal/run/chiveentry/tracker_test.go
+++ b/internal/run/chiveentry/tracker_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"io"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/fxamacker/cbor/v2"
 
 	"github.com/chiveyoke/chiveyoke/internal/run/chivemesh"
 	"github.com/chiveyoke/chiveyoke/internal/state/chiveclock"
@@ -194,3 +196,120 @@
 		}
 	}
 }
+
+// restoredTable is a replica of a table after the store has returned from an older copy.
+func restoredTable(since time.Duration, list ...chivefollow.Row) chivefollow.Table {
+	now := chiveclock.Now()
+	return chivefollow.Table{Era: 2, Restored: now.Add(-since), Confirmed: now, Rows: rows(list...)}
+}
+
+// TestOlderCopyOfOperatorsTable checks that an older copy of the store neither reverts
+// the configuration nor confirms it as the newest before operators had time to write
+// again what was lost, and that it does not end an evacuation at once. Otherwise a key
+// that was taken away would be admitted again.
+func TestOlderCopyOfOperatorsTable(t *testing.T) {
+	config := func(version byte, row int64) chivefollow.Row {
+		return chivefollow.Row{Key: "config", Value: []byte{version}, Version: row}
+	}
+	tests := []struct {
+		give      string
+		table     chivefollow.Table
+		version   int64
+		confirmed bool
+		evacuated bool
+	}{
+		{"at once, older configuration", restoredTable(0, config(7, 20)), 9, false, true},
+		{"at once, same configuration", restoredTable(0, config(9, 30)), 9, false, true},
+		{"later, older configuration", restoredTable(time.Minute, config(7, 20)), 9, false, false},
+		{"later, configuration is missing", restoredTable(time.Minute), 9, false, false},
+		{"later, same configuration under its old row version", restoredTable(time.Minute, config(9, 30)), 9, true, false},
+		{"later, newer configuration under a lower row version", restoredTable(time.Minute, config(12, 21)), 12, true, false},
+		{"at once, evacuation in the copy", restoredTable(0, config(9, 30), chivefollow.Row{Key: "z", Version: 29}), 9, false, true},
+	}
+	for _, tt := range tests {
+		tr := newTracker()
+		first := chiveclock.Now().Add(-time.Hour)
+		tr.applyOperators(chivefollow.Table{Era: 1, Confirmed: first, Rows: rows(config(9, 30), chivefollow.Row{Key: "z", Version: 31})})
+		tr.applyOperators(tt.table)
+		f := tr.Fleet()
+		if f.Config.Version != tt.version || f.EvacuatedZones["z"] != tt.evacuated {
+			t.Errorf("%s: version %d, evacuated %t, want %d, %t", tt.give, f.Config.Version, f.EvacuatedZones["z"], tt.version, tt.evacuated)
+		}
+		if confirmed := f.ConfigConfirmedAt != first; confirmed != tt.confirmed {
+			t.Errorf("%s: configuration confirmed %t, want %t", tt.give, confirmed, tt.confirmed)
+		}
+	}
+}
+
+// leavingCodec decodes rows of runners whose value ends with "!" if they leave.
+type leavingCodec struct{ plainCodec }
+
+func (leavingCodec) Runner(id string, data []byte, _ chiveclock.Moment) (*chivefleet.Runner, error) {
+	address, leaving := strings.CutSuffix(string(data), "!")
+	return &chivefleet.Runner{ID: id, Service: "s", Address: address, Leaving: leaving}, nil
+}
+
+// TestOlderCopyOfRunners checks that an older copy of the store brings back no runner
+// that has gone or leaves, keeps those that it lacks for a while, and that rows are
+// decoded anew though their versions were given out again.
+func TestOlderCopyOfRunners(t *testing.T) {
+	tr := NewTracker(leavingCodec{}, log.New(io.Discard))
+	row := func(key, value string, version int64) chivefollow.Row {
+		return chivefollow.Row{Key: key, Value: []byte(value), Version: version}
+	}
+	tr.applyRunners(chivefollow.Table{Era: 1, Rows: rows(row("gone", "1:1", 1), row("leaves", "2:1!", 6), row("stays", "3:1", 3), row("late", "4:1", 7))})
+	tr.applyRunners(chivefollow.Table{Era: 1, Rows: rows(row("leaves", "2:1!", 6), row("stays", "3:1", 3), row("late", "4:1", 7))})
+	tr.applyRunners(restoredTable(0, row("gone", "1:1", 1), row("leaves", "2:1", 2), row("stays", "3:2", 3)))
+	got := map[string]*chivefleet.Runner{}
+	for _, r := range tr.Fleet().Runners["s"] {
+		got[r.ID] = r
+	}
+	if got["gone"] != nil {
+		t.Error("a runner that has gone is back")
+	}
+	if r := got["leaves"]; r == nil || !r.Leaving {
+		t.Error("a runner that leaves takes requests again")
+	}
+	if got["late"] == nil {
+		t.Error("a runner whose row was lost is not kept")
+	}
+	if r := got["stays"]; r == nil || r.Address != "3:2" {
+		t.Errorf("a row with a version that was given out again is not applied: %+v", r)
+	}
+	tr.applyRunners(restoredTable(0, row("gone", "1:9", 8), row("leaves", "2:1", 2), row("stays", "3:2", 3)))
+	if len(tr.Fleet().Runners["s"]) != 4 {
+		t.Error("a runner that registers again is not taken")
+	}
+}
+
+// TestOlderCopyOfEntries checks that entry VMs whose rows an older copy of the store
+// lacks still count, and that this entry VM writes its row again only if it is lost.
+func TestOlderCopyOfEntries(t *testing.T) {
+	row := func(name string) chivefollow.Row {
+		value, err := cbor.Marshal(&chivefleet.Entry{Name: name})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return chivefollow.Row{Key: entryPrefix + name, Value: value, Version: 1}
+	}
+	for _, lost := range []bool{false, true} {
+		tr := newTracker()
+		d := &Daemon{tracker: tr, registrationLost: make(chan struct{}, 1), settings: Settings{Entry: chivefleet.Entry{Name: "a"}}}
+		tr.entriesRestored = d.checkRegistration
+		tr.applyEntries(chivefollow.Table{Era: 1, Rows: rows(row("a"), row("b"))})
+		left := rows(row("a"))
+		if lost {
+			left = rows(row("b"))
+		}
+		table := restoredTable(0)
+		table.Rows = left
+		tr.applyEntries(table)
+		tr.applyEntries(table)
+		if n := len(tr.Fleet().Entries); n != 2 {
+			t.Errorf("lost %t: %d entry VMs, want 2", lost, n)
+		}
+		if n := len(d.registrationLost); (n == 1) != lost {
+			t.Errorf("lost %t: %d calls to write the row again", lost, n)
+		}
+	}
+}
