Share the limits of cold runners from the first request on

After the loss of power all eight do so at once, before runners of which most are evacuated. Which of them met the same runner decided whether the bound broke. Ruled out: connections that are set up late, and rounding of shares.

Change: until the registered entry VMs are known, nothing is sent to runners in slow start and no retries are sent; the list is passed on as soon as it is read.

--- a/internal/run/chiveentry/daemon.go
+++ b/internal/run/chiveentry/daemon.go
@@ -161,6 +161,7 @@
 	}).With("process", settings.Entry.Name)
 	d.tracker = NewTracker(deps.Codec, d.log.WithPrefix("fleet"))
 	d.tracker.entriesRestored = d.checkRegistration
+	d.tracker.onEntries = d.setEntries
 	runners := chiverelay.NewRunnerState(settings.Entry.Name, settings.RetryLimits)
 	d.balancer = &chivebalance.Balancer{
 		Engine: deps.Engine, Table: deps.Leases, Name: processName(settings.Entry, settings.Entry.Boot),
@@ -234,8 +235,17 @@
 	return group.Run()
 }
 
-// maintain periodically closes idle connections, prunes and adjusts the state of
-// runners, and updates the list of entry VMs, until the context ends.
+// setEntries shares the limits with the registered entry VMs, if there are any.
+func (d *Daemon) setEntries(entries map[string]chivefleet.Entry) {
+	if len(entries) == 0 {
+		return
+	}
+	d.peersKnownAt.CompareAndSwap(0, int64(chiveclock.Now()))
+	d.relay.State.SetEntries(slices.Sorted(maps.Keys(entries)))
+}
+
+// maintain periodically closes idle connections, and prunes and adjusts the state of
+// runners, until the context ends.
 func (d *Daemon) maintain(ctx context.Context) error {
 	tick := time.NewTicker(maintenanceInterval)
 	defer tick.Stop()
@@ -245,13 +255,9 @@
 			return nil
 		case <-tick.C:
 			fleet := d.tracker.Fleet()
-			if len(fleet.Entries) > 0 && d.peersKnownAt.Load() == 0 {
-				d.peersKnownAt.Store(int64(chiveclock.Now()))
-			}
 			d.relay.Pool.CloseExpired()
 			d.relay.State.Prune(fleet)
 			d.relay.State.AdjustLimits(fleet)
-			d.relay.State.SetEntries(slices.Sorted(maps.Keys(fleet.Entries)))
 		}
 	}
 }
--- a/internal/run/chiveentry/tracker.go
+++ b/internal/run/chiveentry/tracker.go
@@ -73,6 +73,9 @@
 	// entriesRestored is called when the store has returned from an older copy, with
 	// the rows of entry VMs that it has then.
 	entriesRestored func(entries map[string]chivefleet.Entry)
+	// onEntries is called with the registered entry VMs when their rows were read; nil
+	// means that nobody is told.
+	onEntries func(entries map[string]chivefleet.Entry)
 	// entriesEra is the era of the rows of entry VMs.
 	entriesEra int64
 	// lastRecovery is when the store last answered again after a failure, 0 if it has
@@ -365,4 +368,7 @@
 		}
 	}
 	t.publish(func(f *chivefleet.Fleet) { f.Entries = entries })
+	if t.onEntries != nil {
+		t.onEntries(entries)
+	}
 }
--- a/internal/run/chiverelay/relay_test.go
+++ b/internal/run/chiverelay/relay_test.go
@@ -307,6 +307,7 @@
 			return s.fleet
 		},
 	}
+	s.relay.State.SetEntries([]string{"e"})
 	s.server = httptest.NewServer(s.relay)
 	t.Cleanup(s.server.Close)
 	return s
--- a/internal/run/chiverelay/runner_state.go
+++ b/internal/run/chiverelay/runner_state.go
@@ -54,7 +54,8 @@
 	inflight     map[string]map[*inflightAttempt]bool
 	ledgers      map[string]*chivefair.Ledger
 	// self is the name of this entry VM; entries names the registered entry VMs,
-	// which share the limits.
+	// which share the limits. It is empty until they are known: an entry VM that has
+	// just started would otherwise take the limits for its own.
 	self    string
 	entries []string
 }
@@ -90,11 +91,12 @@
 	return &RunnerState{
 		limits: limits, localLoad: map[string]int{}, peerLoads: map[string]peerLoad{}, slowReports: map[string]slowReport{}, suspectUntil: map[string]chiveclock.Moment{},
 		slowStarts: map[string]*chivequota.ColdLimiter{}, retryBudgets: map[string]*chivequota.RetryBudget{}, limiters: map[string]*concurrencyLimiter{}, inflight: map[string]map[*inflightAttempt]bool{}, ledgers: map[string]*chivefair.Ledger{},
-		self: self, entries: []string{self},
+		self: self,
 	}
 }
 
-// SetEntries sets the names of the registered entry VMs, which share the limits.
+// SetEntries sets the names of the registered entry VMs, which share the limits. Before
+// the first call, no retries are sent, and no requests to runners in slow start.
 func (rs *RunnerState) SetEntries(names []string) {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
@@ -204,7 +206,7 @@
 func (rs *RunnerState) TakeRetry(service string) bool {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
-	return rs.retryBudget(service).AllowRetry(time.Duration(chiveclock.Now()), len(rs.entries))
+	return len(rs.entries) > 0 && rs.retryBudget(service).AllowRetry(time.Duration(chiveclock.Now()), len(rs.entries))
 }
 
 // retryBudget returns the retry budget of a service, created on first use. The
@@ -330,6 +332,9 @@
 	if now >= r.ColdUntil || s.ColdRate == 0 {
 		return true
 	}
+	if len(rs.entries) == 0 {
+		return false
+	}
 	c := rs.slowStarts[r.ID]
 	if c == nil {
 		c = &chivequota.ColdLimiter{}
