--- a/internal/peer/chivescout/scout_test.go
+++ b/internal/peer/chivescout/scout_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http/httptest"
 	"strconv"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/chiveyoke/chiveyoke/internal/state/chiverank"
@@ -123,3 +125,54 @@
 		t.Errorf("experts %+v, %v", r, err)
 	}
 }
+
+// TestOrdersToAllRanksUnderLoss checks how long it takes until twelve ranks, which leave
+// every second order unanswered, have all confirmed one: a map change waits for the last
+// of them, three times. The naive way repeats an order only when an attempt has timed
+// out.
+func TestOrdersToAllRanksUnderLoss(t *testing.T) {
+	naive := func(ctx context.Context, tryTimeout time.Duration, order func(context.Context) error) error {
+		for {
+			tryCtx, cancel := context.WithTimeout(ctx, tryTimeout)
+			err := order(tryCtx)
+			cancel()
+			if err == nil || ctx.Err() != nil {
+				return err
+			}
+		}
+	}
+	mean := func(send func(context.Context, time.Duration, func(context.Context) error) error) (sum time.Duration) {
+		const rounds, ranks = 50, 12
+		synctest.Test(t, func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(1, 2))
+			var mu sync.Mutex
+			for range rounds {
+				start := time.Now()
+				var senders sync.WaitGroup
+				for range ranks {
+					senders.Go(func() {
+						_ = send(t.Context(), localTryTimeout, func(ctx context.Context) error {
+							mu.Lock()
+							lost := rng.IntN(2) == 0
+							mu.Unlock()
+							if lost {
+								<-ctx.Done()
+								return ctx.Err()
+							}
+							time.Sleep(2 * time.Millisecond)
+							return nil
+						})
+					})
+				}
+				senders.Wait()
+				sum += time.Since(start) / rounds
+			}
+		})
+		return sum
+	}
+	slow, fast := mean(naive), mean(retryUnanswered)
+	t.Logf("mean time until all ranks have confirmed: %v, naive %v", fast, slow)
+	if 2*fast > slow {
+		t.Errorf("all ranks have confirmed after %v on average, naive %v, want at most half of it", fast, slow)
+	}
+}
--- a/internal/run/chiverelay/closed_group_test.go
+++ b/internal/run/chiverelay/closed_group_test.go
@@ -42,11 +42,13 @@
 		served bool
 		// within bounds the time until the response.
 		within time.Duration
+		// brokenGroup is set if a rank has to start again before the group can serve.
+		brokenGroup bool
 	}{
-		{"the group is being formed", []bool{false, false, false}, 400 * time.Millisecond, 0, true, 900 * time.Millisecond},
-		{"a rank is missing", []bool{false, false}, time.Minute, 0, false, 100 * time.Millisecond},
-		{"the group does not open", []bool{false, false, false}, time.Minute, 0, false, maxFormingWait + 300*time.Millisecond},
-		{"the store has not answered for long", []bool{false, false, false}, time.Minute, 2 * groupStateMaxAge, true, 200 * time.Millisecond},
+		{"the group is being formed", []bool{false, false, false}, 400 * time.Millisecond, 0, true, 900 * time.Millisecond, false},
+		{"a rank is missing", []bool{false, false}, time.Minute, 0, false, 100 * time.Millisecond, true},
+		{"the group does not open", []bool{false, false, false}, time.Minute, 0, false, maxFormingWait + 300*time.Millisecond, false},
+		{"the store has not answered for long", []bool{false, false, false}, time.Minute, 2 * groupStateMaxAge, true, 200 * time.Millisecond, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.give, func(t *testing.T) {
@@ -66,6 +68,9 @@
 					if served := g.status == http.StatusOK && g.complete; served != tt.served {
 						t.Errorf("%s: served %t (status %d), want %t", id, served, g.status, tt.served)
 					}
+					if after, err := time.ParseDuration(g.header.Get("After")); tt.brokenGroup && (err != nil || after < brokenGroupRetryAfter) {
+						t.Errorf("%s: told to return after %v, %v, want at least %v", id, after, err, brokenGroupRetryAfter)
+					}
 					if !tt.served && (g.header.Get("After") == "" || s.runs(id) > 0) {
 						t.Errorf("%s: refused with time to return %q after %d runs", id, g.header.Get("After"), s.runs(id))
 					}
--- a/internal/run/chiverelay/relay.go
+++ b/internal/run/chiverelay/relay.go
@@ -29,6 +29,9 @@
 	// runner or configuration is available: the remaining ranks detect the failure
 	// after 1.5 s and then form the group again.
 	recoveryRetryAfter = 1700 * time.Millisecond
+	// brokenGroupRetryAfter replaces retryAfter when a group lacks a rank: the rank has
+	// to start again and the group to form, and most callers retry only once.
+	brokenGroupRetryAfter = 2400 * time.Millisecond
 	// minAttemptTime is the shortest time until the deadline at which a request is
 	// still sent to a runner.
 	minAttemptTime = 15 * time.Millisecond
@@ -394,7 +397,10 @@
 // with the time after which to retry. It always returns false.
 func (x *exchange) refuse(cause string) bool {
 	delay := retryAfter
-	if x.unavailable || x.groupBroken {
+	switch {
+	case x.groupClosed && !x.forming:
+		delay = brokenGroupRetryAfter
+	case x.unavailable || x.groupBroken:
 		delay = recoveryRetryAfter
 	}
 	delay += time.Duration(rand.Int64N(int64(delay / 2)))
