Wait for a place in a group that has just opened

Change: such a request waits for a place until the limit on its wait for the group. Pattern: TestGroupIsFormed, the group opens with few places (14 of 20 refused before).

--- a/internal/run/chiverelay/closed_group.go
+++ b/internal/run/chiverelay/closed_group.go
@@ -44,11 +44,13 @@
 }
 
 // awaitGroup waits a moment if the last reservation failed because a group is being
-// formed. It reports whether another one is to be tried.
+// formed, or because the group for which the request has waited is full: all that have
+// waited come at once. It reports whether another reservation is to be tried.
 func (x *exchange) awaitGroup(ctx context.Context) bool {
-	if !x.forming || chiveclock.Since(x.start) >= maxFormingWait || chiveclock.Sleep(ctx, formingPollInterval) != nil {
+	full := x.groupAwaited && !x.unavailable
+	if !x.forming && !full || chiveclock.Since(x.start) >= maxFormingWait || chiveclock.Sleep(ctx, formingPollInterval) != nil {
 		return false
 	}
-	x.cause = ""
+	x.groupAwaited, x.cause = true, ""
 	return true
 }
