--- a/internal/run/chiverelay/closed_group.go
+++ b/internal/run/chiverelay/closed_group.go
@@ -44,13 +44,11 @@
 }
 
 // awaitGroup waits a moment if the last reservation failed because a group is being
-// formed, or because the group for which the request has waited is full: all that have
-// waited come at once. It reports whether another reservation is to be tried.
+// formed. It reports whether another one is to be tried.
 func (x *exchange) awaitGroup(ctx context.Context) bool {
-	full := x.groupAwaited && !x.unavailable
-	if !x.forming && !full || chiveclock.Since(x.start) >= maxFormingWait || chiveclock.Sleep(ctx, formingPollInterval) != nil {
+	if !x.forming || chiveclock.Since(x.start) >= maxFormingWait || chiveclock.Sleep(ctx, formingPollInterval) != nil {
 		return false
 	}
-	x.groupAwaited, x.cause = true, ""
+	x.cause = ""
 	return true
 }
--- a/internal/run/chiverelay/relay.go
+++ b/internal/run/chiverelay/relay.go
@@ -122,8 +122,6 @@
 	// groupClosed reports whether the last reservation failed because no group of ranks
 	// is open, forming whether one is being formed.
 	groupClosed, forming bool
-	// groupAwaited reports whether the request has waited for a group.
-	groupAwaited bool
 	// groupBroken reports whether a runner refused the request because another
 	// runner of its group failed.
 	groupBroken bool
