Read the experts of at most 16 ranks at a time

Cause: read on the diff: the experts of all ranks are read in parallel since rollbacks need them; on a group of 192 ranks, from an entry VM with 0.384 cores, the last calls could wait longer than their timeout of 0.4 s, and the map would never be loaded. Change: 16 at a time. Pattern: chivebalance.TestReadLayoutOfManyRanks. Groups of up to 16 ranks are read as before.

--- a/internal/run/chivebalance/balancer_test.go
+++ b/internal/run/chivebalance/balancer_test.go
@@ -306,3 +306,49 @@
 		t.Errorf("malformed demand: error %v, demand kept %t", err, restored.get("g", 2, 3) != nil)
 	}
 }
+
+// slowReader answers reads of experts after a delay and counts the parallel ones.
+type slowReader struct {
+	chiverank.Engine
+	mu              sync.Mutex
+	reading, maxima int
+}
+
+func (r *slowReader) Experts(ctx context.Context, m chiverank.Member) (chiverank.HeldExperts, error) {
+	r.mu.Lock()
+	r.reading++
+	r.maxima = max(r.maxima, r.reading)
+	r.mu.Unlock()
+	defer func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.reading--
+	}()
+	select {
+	case <-time.After(30 * time.Millisecond):
+		return chiverank.HeldExperts{Version: 7, Experts: [][]int{{m.Rank}}}, nil
+	case <-ctx.Done():
+		return chiverank.HeldExperts{}, ctx.Err()
+	}
+}
+
+// TestReadLayoutOfManyRanks checks that the map of a group of 192 ranks is read within a
+// second, and not from all ranks at once.
+func TestReadLayoutOfManyRanks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var members []chiverank.Member
+		for k := range 192 {
+			members = append(members, chiverank.Member{Rank: k})
+		}
+		engine := &slowReader{}
+		g := &group{balancer: &Balancer{Engine: engine}}
+		start := time.Now()
+		layout, err := g.readLayout(t.Context(), members)
+		if err != nil || len(layout) != 1 || len(layout[0]) != 192 || layout[0][191][0] != 191 {
+			t.Fatalf("layout of %d layers, %v", len(layout), err)
+		}
+		if took := time.Since(start); took > time.Second || engine.maxima > maxParallelReads {
+			t.Errorf("read in %v, %d ranks at a time, want at most 1s and %d", took, engine.maxima, maxParallelReads)
+		}
+	})
+}
--- a/internal/run/chivebalance/group.go
+++ b/internal/run/chivebalance/group.go
@@ -20,6 +20,9 @@
 	roundInterval = 150 * time.Millisecond
 	// rankReadTimeout bounds reading one rank, or several ranks in parallel.
 	rankReadTimeout = 400 * time.Millisecond
+	// maxParallelReads is the number of ranks whose experts are read at a time: a small
+	// VM cannot read hundreds within rankReadTimeout.
+	maxParallelReads = 16
 	// maxIdleRounds is the number of rounds in a row without new counts after
 	// which ranks of all zones are sampled: those of this zone are then assumed
 	// to serve no requests.
@@ -308,8 +311,11 @@
 	held := make([]chiverank.HeldExperts, len(members))
 	failures := make([]error, len(members))
 	var readers sync.WaitGroup
+	slots := make(chan struct{}, maxParallelReads)
 	for i, m := range members {
+		slots <- struct{}{}
 		readers.Go(func() {
+			defer func() { <-slots }()
 			ctx, cancel := context.WithTimeout(ctx, rankReadTimeout)
 			defer cancel()
 			held[i], failures[i] = g.balancer.Engine.Experts(ctx, m)
