Count the calls of a test under its lock

The check is as it was.

With -race pass: chivehub, chivelease, chivebalance, chivemap, chiveentry, chivescout, chiverelay, chivefollow, platform.

--- a/internal/run/chivehub/hub_test.go
+++ b/internal/run/chivehub/hub_test.go
@@ -74,6 +74,15 @@
 	}
 }
 
+// resetCalls returns the number of calls since it was called last.
+func (s *fakeStore) resetCalls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := s.calls
+	s.calls = 0
+	return n
+}
+
 // keepCopy keeps the content for returnFromCopy.
 func (s *fakeStore) keepCopy() {
 	s.mu.Lock()
@@ -416,7 +425,7 @@
 			z := newSimZone(members)
 			z.runDuring(t, rng, func() {
 				time.Sleep(3 * time.Second)
-				z.store.calls = 0
+				z.store.resetCalls()
 				for second := range 20 {
 					z.store.mu.Lock()
 					z.store.down = second >= 8 && second < 14
@@ -424,7 +433,7 @@
 					z.store.write("a", false)
 					time.Sleep(time.Second)
 				}
-				n = z.store.calls
+				n = z.store.resetCalls()
 			})
 		})
 		return n
