Let entry VMs not pile up unanswered orders

Since an unanswered order was repeated every 10 ms also by entry VMs, which order up to 192 ranks at once where scouts are away, each attempt with its copy of a map of some 6,000 numbers.

Change: only scouts, which order one rank, repeat that soon; entry VMs repeat when an attempt has timed out, as before. Pattern: many ranks that do not answer (chivescout.TestDirectOrdersAreNotPiledUp: 5 attempts at a time before, 1 or 2 now).

--- a/internal/peer/chivescout/client.go
+++ b/internal/peer/chivescout/client.go
@@ -80,7 +80,7 @@
 // orderDirect sends an order to a rank without a scout and repeats it until the
 // rank answers or the context ends.
 func (c *Client) orderDirect(ctx context.Context, m chiverank.Member, o chiverank.Order) error {
-	return retryUnanswered(ctx, remoteTryTimeout, func(ctx context.Context) error { return c.Direct.Order(ctx, m, o) })
+	return retryUnanswered(ctx, remoteTryTimeout, remoteTryTimeout, func(ctx context.Context) error { return c.Direct.Order(ctx, m, o) })
 }
 
 // Report implements chiverank.Ranks.
--- a/internal/peer/chivescout/retry.go
+++ b/internal/peer/chivescout/retry.go
@@ -13,8 +13,9 @@
 	// on the same VM and on another VM.
 	localTryTimeout  = 28 * time.Millisecond
 	remoteTryTimeout = 45 * time.Millisecond
-	// repeatInterval is the time between two attempts at an order that is not answered.
-	repeatInterval = 10 * time.Millisecond
+	// localRepeatInterval is the time between two attempts of a scout at an order that is
+	// not answered.
+	localRepeatInterval = 10 * time.Millisecond
 	// scoutOrderTimeout bounds all attempts of a scout at one order. Callers wait a
 	// little longer than that.
 	scoutOrderTimeout = 90 * time.Millisecond
@@ -25,7 +26,10 @@
 // is not answered, another one is made every repeatInterval: a rank that answers does so
 // at once, and all ranks of a group wait for the last one. Repeating is safe, because a
 // rank confirms an order that it has already accepted.
-func retryUnanswered(ctx context.Context, tryTimeout time.Duration, order func(context.Context) error) error {
+//
+// repeatInterval must not be shorter than tryTimeout in a process that sends orders to
+// many ranks at once, since each attempt has a copy of the order.
+func retryUnanswered(ctx context.Context, tryTimeout, repeatInterval time.Duration, order func(context.Context) error) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	type result struct {
--- a/internal/peer/chivescout/scout_test.go
+++ b/internal/peer/chivescout/scout_test.go
@@ -170,9 +170,46 @@
 		})
 		return sum
 	}
-	slow, fast := mean(naive), mean(retryUnanswered)
+	slow, fast := mean(naive), mean(func(ctx context.Context, tryTimeout time.Duration, order func(context.Context) error) error {
+		return retryUnanswered(ctx, tryTimeout, localRepeatInterval, order)
+	})
 	t.Logf("mean time until all ranks have confirmed: %v, naive %v", fast, slow)
 	if 2*fast > slow {
 		t.Errorf("all ranks have confirmed after %v on average, naive %v, want at most half of it", fast, slow)
 	}
 }
+
+// parallelCounter counts the parallel attempts at orders that are never answered.
+type parallelCounter struct {
+	fakeEngine
+	mu              sync.Mutex
+	running, maxima int
+}
+
+func (c *parallelCounter) Order(ctx context.Context, _ chiverank.Member, _ chiverank.Order) error {
+	c.mu.Lock()
+	c.running++
+	c.maxima = max(c.maxima, c.running)
+	c.mu.Unlock()
+	<-ctx.Done()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.running--
+	return ctx.Err()
+}
+
+// TestDirectOrdersAreNotPiledUp guards against an entry VM that runs out of memory when
+// hundreds of ranks do not answer and have no scout: each attempt at an order has a copy
+// of the expert map, so that few may run at a time for one rank.
+func TestDirectOrdersAreNotPiledUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engine := &parallelCounter{}
+		c := NewClient(1, engine)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_ = c.orderDirect(ctx, chiverank.Member{}, chiverank.Order{Op: chiverank.Prepare})
+		if engine.maxima > 2 {
+			t.Errorf("%d attempts at one order ran at a time, want at most 2", engine.maxima)
+		}
+	})
+}
--- a/internal/peer/chivescout/server.go
+++ b/internal/peer/chivescout/server.go
@@ -61,7 +61,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, scoutOrderTimeout)
 	defer cancel()
-	return retryUnanswered(ctx, localTryTimeout, func(ctx context.Context) error { return s.Engine.Order(ctx, m, *q.Order) })
+	return retryUnanswered(ctx, localTryTimeout, localRepeatInterval, func(ctx context.Context) error { return s.Engine.Order(ctx, m, *q.Order) })
 }
 
 func (s *Server) report(ctx context.Context, m chiverank.Member, _ *Request, r *Reply) error {
