--- a/internal/run/chiverelay/dialect.go
+++ b/internal/run/chiverelay/dialect.go
@@ -20,6 +20,8 @@
 	// Cost is the expected cost of the request, in the unit of its service; 0 if
 	// the caller does not state it.
 	Cost float64
+	// Parts holds the IDs of those parts of the prompt that other prompts may share.
+	Parts []string
 }
 
 // RunnerRequest holds the values that the header of a request to a runner carries
