Test that a part which crashes runners stops reaching them

The stand-in's runners crash on a part, refuse connections for 0.8 s and come back as new incarnations under the same ID.

--- /dev/null
+++ b/internal/bench/chiveplatform/crash.go
@@ -0,0 +1,93 @@
+package chiveplatform
+
+import (
+	"strings"
+	"sync"
+	"time"
+)
+
+// headerPromptParts holds the parts of a prompt.
+const headerPromptParts = "Chiveyoke-Prefix-Hash"
+
+// restartTime is how long a runner that has crashed is gone.
+const restartTime = 800 * time.Millisecond
+
+// crashLog lets a runner crash when it begins to answer a prompt with a certain part, and
+// records what reached it. The zero value is the log of a runner that no prompt crashes. It
+// is safe for concurrent use.
+type crashLog struct {
+	mu sync.Mutex
+	// part is the ID of the part that crashes the runner, or empty.
+	part string
+	// onCrash ends the incarnation of the runner. It reports whether nothing else has.
+	onCrash func() bool
+	// arrivals holds when requests with the part arrived, crashedAt when the runner
+	// crashed.
+	arrivals, crashedAt []time.Time
+}
+
+// CrashOnPart makes the runners crash whenever they begin to answer a prompt with the given
+// part. They start again as new incarnations. An empty part ends this.
+func (s *Site) CrashOnPart(part string) {
+	for i, r := range s.Runners {
+		r.crashes.mu.Lock()
+		r.crashes.part, r.crashes.onCrash = part, func() bool { return s.restartRunner(i) }
+		r.crashes.mu.Unlock()
+	}
+}
+
+// restartRunner lets a runner be gone for restartTime and then register as a new
+// incarnation. It returns false if the runner is gone already.
+func (s *Site) restartRunner(i int) bool {
+	if s.Links[i].Shut(restartTime) != nil {
+		return false
+	}
+	time.AfterFunc(restartTime, func() {
+		s.Runners[i].notices.restart()
+		// Only a store that is closed fails.
+		_ = s.RegisterRunner(i, "ready")
+	})
+	return true
+}
+
+// holdsPart reports whether the value of the header holds a part.
+func holdsPart(value, part string) bool {
+	for p := range strings.SplitSeq(value, ",") {
+		if id, _, _ := strings.Cut(p, ":"); id == part {
+			return true
+		}
+	}
+	return false
+}
+
+// arrive records a request with the part that crashes the runner.
+func (c *crashLog) arrive(parts string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.part != "" && holdsPart(parts, c.part) {
+		c.arrivals = append(c.arrivals, time.Now())
+	}
+}
+
+// begin reports whether an answer to a prompt crashes the runner.
+func (c *crashLog) begin(parts string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.part != "" && holdsPart(parts, c.part)
+}
+
+// crash ends the incarnation of the runner.
+func (c *crashLog) crash() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.onCrash() {
+		c.crashedAt = append(c.crashedAt, time.Now())
+	}
+}
+
+// times returns when requests with the part arrived and when the runner crashed.
+func (c *crashLog) times() (arrivals, crashes []time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append(arrivals, c.arrivals...), append(crashes, c.crashedAt...)
+}
--- a/internal/bench/chiveplatform/proxy.go
+++ b/internal/bench/chiveplatform/proxy.go
@@ -37,7 +37,10 @@
 type Proxy struct {
 	target string
 
-	mu    sync.Mutex
+	mu sync.Mutex
+	// listener is closed while the link is shut, and for good once closed is set.
+	listener net.Listener
+	closed   bool
 	fault LinkFault
 	// conns holds both sides of every open connection.
 	conns map[net.Conn]*link
@@ -50,13 +53,55 @@
 }
 
 // NewProxy returns a Proxy that forwards connections from a listener to a target
-// address. It stops accepting when the listener is closed.
+// address until Close.
 func NewProxy(l net.Listener, target string) *Proxy {
-	p := &Proxy{target: target, conns: map[net.Conn]*link{}}
+	p := &Proxy{target: target, listener: l, conns: map[net.Conn]*link{}}
 	go p.accept(l)
 	return p
 }
 
+// Close ends the acceptance of connections.
+func (p *Proxy) Close() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	if err := p.listener.Close(); !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return nil
+}
+
+// Shut closes all open connections and refuses new ones for a time, as the host of a
+// process that has crashed does. It returns an error if it refuses them already.
+func (p *Proxy) Shut(d time.Duration) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	addr := p.listener.Addr().String()
+	if err := p.listener.Close(); err != nil {
+		return err
+	}
+	for c := range p.conns {
+		_ = c.Close()
+	}
+	time.AfterFunc(d, func() { p.reopen(addr) })
+	return nil
+}
+
+// reopen accepts connections again after Shut.
+func (p *Proxy) reopen(addr string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return
+	}
+	l, err := net.Listen("tcp4", addr)
+	if err != nil {
+		panic("chiveplatform: link cannot listen again: " + err.Error())
+	}
+	p.listener = l
+	go p.accept(l)
+}
+
 // SetFault replaces the fault of the link. LinkReset resets all open connections, and
 // so does the end of a fault that discards bytes: their streams have gaps and cannot
 // continue.
--- a/internal/bench/chiveplatform/runner.go
+++ b/internal/bench/chiveplatform/runner.go
@@ -33,6 +33,7 @@
 	// endless makes the runner send bytes without an end after the request ran.
 	endless bool
 	notices noticeLog
+	crashes crashLog
 }
 
 // NewRunner returns a Runner with the given number of slots that aborts no answer.
@@ -113,6 +114,7 @@
 	}
 	id := q.Header.Get("Chiveyoke-Attempt-Id")
 	w.Header().Set("Chiveyoke-Instance-Id", r.ID)
+	r.crashes.arrive(q.Header.Get(headerPromptParts))
 	if pause := r.notices.arrive(id, w.Header()); pause > 0 {
 		w.Header().Set("Chiveyoke-Not-Executed", "1")
 		w.Header().Set("Retry-After", strconv.FormatFloat(pause.Seconds(), 'f', 2, 64))
@@ -128,6 +130,12 @@
 	defer r.end()
 	w.Header().Set("Chiveyoke-Attempt-Id", id)
 	w.Header().Set("Chiveyoke-Response-Seal", "seal-"+id)
+	if r.crashes.begin(q.Header.Get(headerPromptParts)) {
+		// The caller may have the head of the answer, as from a real crash.
+		_ = http.NewResponseController(w).Flush()
+		r.crashes.crash()
+		panic(http.ErrAbortHandler)
+	}
 	if r.isEndless() {
 		sendEndless(w)
 		return
--- a/internal/bench/chiveplatform/site.go
+++ b/internal/bench/chiveplatform/site.go
@@ -65,8 +65,6 @@
 	keys     []string
 	history  configHistory
 	servers  []*http.Server
-	// listeners holds the listeners of Links and StoreLink.
-	listeners []net.Listener
 }
 
 // EntryVM is an entry VM of a site and the process that runs it.
@@ -118,7 +116,6 @@
 	if err != nil {
 		return nil, errors.Join(err, s.Close())
 	}
-	s.listeners = append(s.listeners, storeLink)
 	s.StoreLink = NewProxy(storeLink, s.storeAddress(storeHost))
 	for i := range runners {
 		r := NewRunner(fmt.Sprintf("i-%d", i), Zones[i%len(Zones)], 24)
@@ -129,7 +126,6 @@
 		if err != nil {
 			return nil, errors.Join(err, s.Close())
 		}
-		s.listeners = append(s.listeners, l)
 		s.Links = append(s.Links, NewProxy(l, fmt.Sprintf("%s:%d", s.ip(101, i+1), runnerPort)))
 		s.Runners = append(s.Runners, r)
 		if err := s.RegisterRunner(i, "ready"); err != nil {
@@ -415,6 +411,11 @@
 // Send sends a request to the route named route at an address, with a request ID and
 // an API key.
 func Send(ctx context.Context, client *http.Client, addr, route, id, key string) Answer {
+	return SendPrompt(ctx, client, addr, route, id, key, "")
+}
+
+// SendPrompt sends a request as Send does, with the parts of a prompt as "ID:TOKENS,...".
+func SendPrompt(ctx context.Context, client *http.Client, addr, route, id, key, parts string) Answer {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/"+route+"/x", strings.NewReader("body of "+id))
 	if err != nil {
 		return Answer{}
@@ -423,6 +424,9 @@
 	req.Header.Set("Chiveyoke-Attempt-Id", id)
 	req.Header.Set("Chiveyoke-Deadline-Ms", "4000")
 	req.Header.Set("Authorization", "Token "+key)
+	if parts != "" {
+		req.Header.Set(headerPromptParts, parts)
+	}
 	resp, err := client.Do(req)
 	if err != nil {
 		return Answer{}
@@ -457,7 +461,7 @@
 			e.WaitExit(shutdownGrace)
 		}
 	}
-	for _, l := range s.listeners {
+	for _, l := range append([]*Proxy{s.StoreLink}, s.Links...) {
 		problems = append(problems, l.Close())
 	}
 	for _, server := range s.servers {
