Keep prompts from runners that have a part under which runners crash

Cause: an entry VM remembered the failure of the runner and never the request. Each request was taken for a victim and sent, by whichever entry VM it reached.

The fix: a request that breaks off unanswered at a runner which then turns out to have ended (a refused connection, or its registration is gone) is evidence against the parts of its prompt, as facts with the incarnation and the age. Entry VMs tell each other in their reports. Its requests are refused as not run, before each send. Memory and messages are bounded.

--- a/internal/bench/chiveplatform/proxy.go
+++ b/internal/bench/chiveplatform/proxy.go
@@ -41,7 +41,7 @@
 	// listener is closed while the link is shut, and for good once closed is set.
 	listener net.Listener
 	closed   bool
-	fault LinkFault
+	fault    LinkFault
 	// conns holds both sides of every open connection.
 	conns map[net.Conn]*link
 }
--- /dev/null
+++ b/internal/policy/chivesuspect/fact.go
@@ -0,0 +1,46 @@
+// Package chivesuspect finds the parts of prompts that crash runners, from the crashes of
+// all runners that all entry VMs have seen.
+package chivesuspect
+
+import (
+	"errors"
+	"time"
+)
+
+// Fact is what an entry VM knows of a part of prompts. It is sent to other entry VMs, with
+// ages in place of moments.
+type Fact struct {
+	// Part is the ID of the part.
+	Part string `cbor:"part"`
+	// Crashes holds the latest crashes of runners that held an unanswered request with the
+	// part, newest first.
+	Crashes []Crash `cbor:"crashes,omitempty"`
+	// Answered is how long ago a runner last answered a request with the part without a
+	// crash, 0 if none is known to have done so.
+	Answered time.Duration `cbor:"answered,omitempty"`
+}
+
+// Crash is the crash of a runner.
+type Crash struct {
+	// Runner names the incarnation of the runner.
+	Runner string `cbor:"runner"`
+	// Age is how long ago it crashed.
+	Age time.Duration `cbor:"age"`
+}
+
+// maxNameLength is the greatest length in bytes of the ID of a part and of the name of a
+// runner that is accepted from another entry VM.
+const maxNameLength = 256
+
+// Validate returns an error for a fact that no entry VM sends.
+func (f *Fact) Validate() error {
+	if f.Part == "" || len(f.Part) > maxNameLength || f.Answered < 0 || len(f.Crashes) > maxSentCrashes {
+		return errors.New("fact of a part has no or a long ID, a negative age or too many crashes")
+	}
+	for _, c := range f.Crashes {
+		if c.Runner == "" || len(c.Runner) > maxNameLength || c.Age < 0 {
+			return errors.New("crash has no or a long runner or a negative age")
+		}
+	}
+	return nil
+}
--- a/internal/run/chiveentry/daemon.go
+++ b/internal/run/chiveentry/daemon.go
@@ -186,11 +186,14 @@
 			runners.SetPeerUsage(source, load.Served)
 			d.source.NotifyReport()
 		},
-		Log: d.log.WithPrefix("mesh"),
+		Facts:   func() chivemesh.Facts { return chivemesh.Facts{Suspects: d.relay.Crashes.Facts()} },
+		OnFacts: func(f chivemesh.Facts, delay time.Duration) { d.relay.Crashes.Merge(f.Suspects, delay) },
+		Log:     d.log.WithPrefix("mesh"),
 	}
 	d.relay = &chiverelay.Relay{
 		Dialect: deps.Dialect, State: runners, Pool: &chiverunner.Pool{}, Log: d.log.WithPrefix("relay"),
 		Zone: settings.Entry.Zone, Fleet: d.fleet, ConfigMaxAge: d.configMaxAge(), Observe: d.recordOutcome,
+		Crashes: chiverelay.CrashGuard{OnCrash: func() { d.mesh.SendNow() }},
 	}
 	return d
 }
@@ -269,10 +272,24 @@
 			d.relay.Pool.CloseExpired()
 			d.relay.State.Prune(fleet)
 			d.relay.State.AdjustLimits(fleet)
+			d.relay.Crashes.CheckFleet(fleet)
+			d.logExclusions()
 		}
 	}
 }
 
+// logExclusions logs the parts of prompts that are kept from runners since the last call,
+// and those that no longer are.
+func (d *Daemon) logExclusions() {
+	began, ended := d.relay.Crashes.ExclusionChanges()
+	for part, crashes := range began {
+		d.relay.Log.Warn("Part of prompts is kept from runners that crash under it.", "part", part, "crashes", crashes)
+	}
+	for _, part := range ended {
+		d.relay.Log.Info("Part of prompts is no longer kept from runners.", "part", part)
+	}
+}
+
 // waitAndDrain waits until the context ends and then shuts the entry VM down. It
 // removes this entry VM from directory responses, accepts requests while callers may
 // still use cached responses, waits for the running requests, and removes the row of
--- a/internal/run/chivemesh/mesh.go
+++ b/internal/run/chivemesh/mesh.go
@@ -105,6 +105,10 @@
 	// OnReport is called with the load and the slow runners in each accepted report
 	// or digest. The source is the name of a peer, or "zone/" and the name of a zone.
 	OnReport func(source string, load Load, slow map[string]float64)
+	// Facts returns what this entry VM has learned. OnFacts is called with the facts of
+	// each accepted report or digest and the known part of its delay. Both may be nil.
+	Facts   func() Facts
+	OnFacts func(facts Facts, delay time.Duration)
 	// Clock is the clock of the VM.
 	Clock chiveclock.Clock
 	Log   *log.Logger
@@ -274,6 +278,9 @@
 		Header: Header{From: m.Self.Name, Boot: m.Self.Boot}, Status: Status{HoldsMapDuty: m.HoldsMapDuty(), SinceStoreAnswer: m.SinceStoreAnswer()},
 		Revisions: m.Revisions(), Load: m.Load(), SlowRunners: m.SlowRunners(),
 	}
+	if m.Facts != nil {
+		r.Facts = m.Facts()
+	}
 	if fleet.Config != nil {
 		r.ConfigVersion, r.ConfigAge = fleet.Config.Version, m.Clock.Since(fleet.ConfigConfirmedAt)
 	}
@@ -306,8 +313,17 @@
 	switch {
 	case p.Report != nil && m.acceptReport(p.Report):
 		m.OnReport(p.Report.From, p.Report.Load, p.Report.SlowRunners)
+		m.passFacts(p.Report.Facts, 0)
 	case p.Digest != nil && m.acceptDigest(p.Digest):
 		m.OnReport(zoneSourcePrefix+p.Digest.Zone, p.Digest.Load, p.Digest.SlowRunners)
+		m.passFacts(p.Digest.Facts, p.Digest.RelayDelay)
+	}
+}
+
+// passFacts calls OnFacts.
+func (m *Mesh) passFacts(f Facts, delay time.Duration) {
+	if m.OnFacts != nil {
+		m.OnFacts(f, delay)
 	}
 }
 
--- a/internal/run/chivemesh/message.go
+++ b/internal/run/chivemesh/message.go
@@ -12,6 +12,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/chiveyoke/chiveyoke/internal/policy/chivesuspect"
 	"github.com/chiveyoke/chiveyoke/internal/run/chivehub"
 	"github.com/chiveyoke/chiveyoke/internal/state/chiveclock"
 )
@@ -61,6 +62,24 @@
 	// holder of the map duty.
 	SlowRunners map[string]float64 `cbor:"slow,omitempty"`
 	Load
+	Facts
+}
+
+// Facts is what an entry VM has learned of prompts, itself or from others. Facts tell their
+// age, so that a digest may carry those of its sender alone: it has those of its zone.
+type Facts struct {
+	// Suspects holds the parts of prompts under which runners have crashed.
+	Suspects []chivesuspect.Fact `cbor:"suspects,omitempty"`
+}
+
+// validate returns an error for facts that no entry VM sends.
+func (f *Facts) validate() error {
+	for i := range f.Suspects {
+		if err := f.Suspects[i].Validate(); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // Load is the load that one or more entry VMs put on runners.
@@ -119,6 +138,7 @@
 	// SlowRunners holds the slowdown of each slow runner, by its ID.
 	SlowRunners map[string]float64 `cbor:"slow,omitempty"`
 	Load
+	Facts
 }
 
 // Member is an entry VM in a digest.
@@ -136,12 +156,12 @@
 	}
 	switch {
 	case p.Report != nil && p.Digest == nil:
-		return &p, p.Report.validate()
+		return &p, errors.Join(p.Report.Header.validate(), p.Report.Facts.validate())
 	case p.Digest != nil && p.Report == nil:
 		if p.Digest.Zone == "" || p.Digest.RelayDelay < 0 {
 			return nil, errors.New("digest has no zone or a negative relay delay")
 		}
-		return &p, p.Digest.validate()
+		return &p, errors.Join(p.Digest.Header.validate(), p.Digest.Facts.validate())
 	}
 	return nil, errors.New("datagram does not hold exactly one report or digest")
 }
--- a/internal/run/chivemesh/neighbour.go
+++ b/internal/run/chivemesh/neighbour.go
@@ -109,7 +109,7 @@
 func (m *Mesh) buildDigest(own *Report) Digest {
 	d := Digest{
 		Header: own.Header, Zone: m.Self.Zone, Members: map[string]Member{m.Self.Name: {Boot: own.Boot, Status: own.Status}},
-		Load: own.clone(), SlowRunners: map[string]float64{},
+		Load: own.clone(), SlowRunners: map[string]float64{}, Facts: own.Facts,
 	}
 	maps.Copy(d.SlowRunners, own.SlowRunners)
 	for name, n := range m.neighbours {
--- a/internal/run/chiverelay/attempt.go
+++ b/internal/run/chiverelay/attempt.go
@@ -24,6 +24,9 @@
 	fresh := !x.route.Repeatable()
 	conn, err := x.relay.Pool.Get(ctx, runner.Address, fresh)
 	if err != nil {
+		if chiverunner.IsRefused(err) {
+			x.relay.Crashes.noteEnd(runner.Incarnation())
+		}
 		x.recordFailure(ctx, runner.ID, fmt.Sprintf("runner %s cannot be reached: %v", runner.ID, err))
 		x.tried[runner.ID] = true
 		return false
@@ -41,6 +44,7 @@
 		var sendErr *chiverunner.SendError
 		if !errors.As(err, &sendErr) || sendErr.Sent {
 			x.mayHaveRun = true
+			x.noteBreak(ctx, runner)
 		}
 		x.noteUnbounded(runner, err)
 		x.recordFailure(ctx, runner.ID, fmt.Sprintf("runner %s broke off: %v", runner.ID, err))
@@ -159,6 +163,7 @@
 func (x *exchange) forwardWhole(ctx context.Context, runner *chivefleet.Runner, resp *http.Response, ok bool) attemptResult {
 	body, release, err := x.relay.buffers.read(resp.Body)
 	if err != nil {
+		x.noteBreak(ctx, runner)
 		x.noteUnbounded(runner, err)
 		x.recordFailure(ctx, runner.ID, fmt.Sprintf("runner %s broke off its answer: %v", runner.ID, err))
 		return attemptFailed
@@ -178,6 +183,7 @@
 	}
 	if ok {
 		x.cause = ""
+		x.relay.Crashes.noteAnswer(x.request.Parts)
 	}
 	return responseDelivered
 }
@@ -201,13 +207,19 @@
 func (x *exchange) forwardStream(ctx context.Context, runner *chivefleet.Runner, resp *http.Response) attemptResult {
 	events := chiverunner.NewEventReader(resp.Body)
 	flush := http.NewResponseController(x.w)
-	for {
+	for count := 1; ; count++ {
 		e, err := events.Next()
+		if errors.Is(err, io.EOF) || count == provenEvents && err == nil {
+			x.relay.Crashes.noteAnswer(x.request.Parts)
+		}
 		if errors.Is(err, io.EOF) {
 			x.finishStream(resp)
 			return responseDelivered
 		}
 		if err != nil {
+			if count <= provenEvents {
+				x.noteBreak(ctx, runner)
+			}
 			x.noteUnbounded(runner, err)
 			x.recordFailure(ctx, runner.ID, fmt.Sprintf("runner %s broke off its stream after event %d: %v", runner.ID, x.lastEvent, err))
 			return attemptFailed
--- a/internal/run/chiverelay/notice.go
+++ b/internal/run/chiverelay/notice.go
@@ -133,6 +133,13 @@
 	return !n.leaving && (n.pausedUntil == 0 || chiveclock.Now() >= n.pausedUntil)
 }
 
+// SaysLeaving reports whether a runner has said in an answer that it is leaving.
+func (rs *RunnerState) SaysLeaving(r *chivefleet.Runner) bool {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	return rs.notices[r.Incarnation()].leaving
+}
+
 // accepting returns the runners that take new requests.
 func (rs *RunnerState) accepting(runners []*chivefleet.Runner) []*chivefleet.Runner {
 	rs.mu.Lock()
@@ -167,6 +174,9 @@
 // mayStillSend reports whether a runner that was chosen a moment ago may still get the
 // request, and sets the cause if not. Connecting may have taken long.
 func (x *exchange) mayStillSend(runner *chivefleet.Runner) bool {
+	if x.partExcluded() {
+		return false
+	}
 	if x.relay.State.Accepts(runner) {
 		return true
 	}
--- a/internal/run/chiverelay/relay.go
+++ b/internal/run/chiverelay/relay.go
@@ -39,6 +39,8 @@
 	Dialect Dialect
 	State   *RunnerState
 	Pool    *chiverunner.Pool
+	// Crashes keeps prompts that crash runners from them.
+	Crashes CrashGuard
 	Log     *log.Logger
 	// Zone is the availability zone of this entry VM.
 	Zone string
@@ -127,6 +129,8 @@
 	// pauseLeft is the time until the first runner takes requests again if the last
 	// reservation failed because all have asked for a pause, else 0.
 	pauseLeft time.Duration
+	// excludedFor is how long a part of the prompt is kept from runners, 0 if it is not.
+	excludedFor time.Duration
 	// allLeaving reports whether the last reservation failed because all runners that have
 	// asked for no pause say that they are leaving.
 	allLeaving bool
@@ -158,6 +162,7 @@
 // allowed.
 func (x *exchange) forward() {
 	x.relay.State.CountRequest(x.service.Name)
+	x.relay.Crashes.CountRequest(x.request.Parts)
 	ctx, cancel := context.WithTimeout(x.r.Context(), chiveclock.Until(x.deadline))
 	defer cancel()
 	var runner *chivefleet.Runner
@@ -211,7 +216,8 @@
 // reserveRunner reserves a runner according to the newest view of the fleet. It
 // returns nil if there is none or the request is no longer admitted.
 func (x *exchange) reserveRunner() *chivefleet.Runner {
-	if !x.recheckKey() {
+	x.forming = false
+	if !x.recheckKey() || x.partExcluded() {
 		return nil
 	}
 	if chiveclock.Until(x.deadline) < minAttemptTime {
@@ -309,6 +315,8 @@
 func (x *exchange) refuse(cause string) bool {
 	delay := retryAfter
 	switch {
+	case x.excludedFor > 0:
+		delay = max(delay, x.excludedFor)
 	case x.pauseLeft > 0:
 		delay = max(delay, x.pauseLeft)
 	case x.groupClosed && !x.forming:
