--- a/internal/run/chiverelay/relay_test.go
+++ b/internal/run/chiverelay/relay_test.go
@@ -30,7 +30,7 @@
 type testDialect struct{}
 
 func (testDialect) Request(r *http.Request) (Request, error) {
-	q := Request{ID: r.Header.Get("Id"), Key: r.Header.Get("Key"), LastEvent: -1, Timeout: 5 * time.Second}
+	q := Request{ID: r.Header.Get("Id"), Key: r.Header.Get("Key"), LastEvent: -1, Timeout: 5 * time.Second, Parts: strings.Fields(r.Header.Get("Parts"))}
 	if q.ID == "" {
 		return q, errors.New("id is missing")
 	}
@@ -104,6 +104,8 @@
 	mu        sync.Mutex
 	rand      *rand.Rand
 	faultRate float64
+	// onlyFault is the fault of all responses, faultNone if faults are drawn.
+	onlyFault int
 	// runs counts the runs of each request, by request ID.
 	runs map[string]int
 	// eventCount is the number of events in a stream.
@@ -155,8 +157,8 @@
 func (r *runner) drawFault() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.rand.Float64() >= r.faultRate {
-		return faultNone
+	if r.onlyFault != faultNone || r.rand.Float64() >= r.faultRate {
+		return r.onlyFault
 	}
 	return 1 + r.rand.IntN(faultCount-1)
 }
@@ -396,6 +398,12 @@
 
 // send sends a request to the relay. Its result is empty if there is no response.
 func (s *testCluster) send(ctx context.Context, t *testing.T, path, id, body string) callerResult {
+	t.Helper()
+	return s.sendPrompt(ctx, t, path, id, body, "")
+}
+
+// sendPrompt sends a request as send does, with the parts of its prompt.
+func (s *testCluster) sendPrompt(ctx context.Context, t *testing.T, path, id, body, parts string) callerResult {
 	t.Helper()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, s.server.URL+path, strings.NewReader(body))
 	if err != nil {
@@ -403,6 +411,7 @@
 	}
 	req.Header.Set("Id", id)
 	req.Header.Set("Key", "k")
+	req.Header.Set("Parts", parts)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return callerResult{}
