--- a/internal/bench/chiveplatform/noticelog.go
+++ b/internal/bench/chiveplatform/noticelog.go
@@ -20,6 +20,7 @@
 	// headerIncarnation tells callers which incarnation of a runner has answered.
 	headerIncarnation = "Incarnation"
 	headerLeaving     = "Server-Leaving"
+	headerLimit       = "Server-Limit"
 )
 
 // noticeLog records the requests that reached a runner, and what the runner has said of
@@ -32,6 +33,8 @@
 	// pause is asked for until pauseEnd, in answers to all requests.
 	pause    time.Duration
 	pauseEnd time.Time
+	// limit is the number of requests per second that all answers name, 0 if they name none.
+	limit    float64
 	arrivals []arrival
 }
 
@@ -59,9 +62,19 @@
 	if n.leaving {
 		h.Set(headerLeaving, "1")
 	}
+	if n.limit > 0 {
+		h.Set(headerLimit, strconv.FormatFloat(n.limit, 'f', 2, 64))
+	}
 	return a.pause
 }
 
+// nameLimit makes all later answers name a limit, or none if it is 0.
+func (n *noticeLog) nameLimit(limit float64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.limit = limit
+}
+
 // leave makes all later answers say that the runner is leaving.
 func (n *noticeLog) leave() {
 	n.mu.Lock()
