Keep the requests to a runner within the rate that it names

What callers see: a runner in need names in its answers the requests a second that it takes from all entry VMs together (Server-Limit).

Cause: the choice of a runner went by requests in flight, of which a runner that answers fast has few. A rate for all entry VMs together must be known to all and divided.

The fix: the rate that an incarnation has named last is a fact with its age, which entry VMs tell each other in their reports (internal/policy/chivecap). It is shared by as many of those alive as get a request a second each, those of the runner's zone first, by rendezvous order; a token bucket counts what each sends. An answer without the header ends it, for all. The facts are bounded and hold while the store is away.

--- a/internal/run/chiveentry/daemon.go
+++ b/internal/run/chiveentry/daemon.go
@@ -4,6 +4,7 @@
 package chiveentry
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"maps"
@@ -18,6 +19,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/chiveyoke/chiveyoke/internal/peer/chiverunner"
+	"github.com/chiveyoke/chiveyoke/internal/policy/chivecap"
 	"github.com/chiveyoke/chiveyoke/internal/run/chivebalance"
 	"github.com/chiveyoke/chiveyoke/internal/run/chivehub"
 	"github.com/chiveyoke/chiveyoke/internal/run/chivelog"
@@ -186,9 +188,14 @@
 			runners.SetPeerUsage(source, load.Served)
 			d.source.NotifyReport()
 		},
-		Facts:   func() chivemesh.Facts { return chivemesh.Facts{Suspects: d.relay.Crashes.Facts()} },
-		OnFacts: func(f chivemesh.Facts, delay time.Duration) { d.relay.Crashes.Merge(f.Suspects, delay) },
-		Log:     d.log.WithPrefix("mesh"),
+		Facts: func() chivemesh.Facts {
+			return chivemesh.Facts{Suspects: d.relay.Crashes.Facts(), Rates: d.relay.Rates.Facts()}
+		},
+		OnFacts: func(f chivemesh.Facts, delay time.Duration) {
+			d.relay.Crashes.Merge(f.Suspects, delay)
+			d.relay.Rates.Merge(f.Rates, delay)
+		},
+		Log: d.log.WithPrefix("mesh"),
 	}
 	d.relay = &chiverelay.Relay{
 		Dialect: deps.Dialect, State: runners, Pool: &chiverunner.Pool{}, Log: d.log.WithPrefix("relay"),
@@ -273,11 +280,32 @@
 			d.relay.State.Prune(fleet)
 			d.relay.State.AdjustLimits(fleet)
 			d.relay.Crashes.CheckFleet(fleet)
+			d.shareRates()
 			d.logExclusions()
 		}
 	}
 }
 
+// shareRates shares the rates that runners name with the entry VMs that are alive and take
+// requests, once this one has heard from all of them.
+func (d *Daemon) shareRates() {
+	known := chiveclock.Moment(d.peersKnownAt.Load())
+	if known == 0 || chiveclock.Since(known) < discoveryTime {
+		return
+	}
+	var senders []chivecap.Sender
+	if !d.leaving.Load() {
+		senders = append(senders, chivecap.Sender{Name: d.settings.Entry.Name, Zone: d.settings.Entry.Zone})
+	}
+	for _, p := range d.mesh.Peers() {
+		if !p.Leaving {
+			senders = append(senders, chivecap.Sender{Name: p.Entry.Name, Zone: p.Entry.Zone})
+		}
+	}
+	slices.SortFunc(senders, func(a, b chivecap.Sender) int { return cmp.Compare(a.Name, b.Name) })
+	d.relay.Rates.SetSenders(d.settings.Entry.Name, senders)
+}
+
 // logExclusions logs the parts of prompts that are kept from runners since the last call,
 // and those that no longer are.
 func (d *Daemon) logExclusions() {
--- a/internal/run/chiveentry/metrics.go
+++ b/internal/run/chiveentry/metrics.go
@@ -55,6 +55,7 @@
 	leaving, paused := d.relay.State.NoticeCounts()
 	s.Gauge("runners_said_leaving").Update(float64(leaving))
 	s.Gauge("runners_paused").Update(float64(paused))
+	s.Gauge("runners_capped").Update(float64(d.relay.Rates.Count()))
 	s.Gauge("parts_excluded").Update(float64(d.relay.Crashes.ExcludedCount()))
 	s.Gauge("requests_busy").Update(float64(busy))
 	s.Gauge("peers_alive").Update(float64(len(d.mesh.Peers())))
--- a/internal/run/chivemesh/message.go
+++ b/internal/run/chivemesh/message.go
@@ -12,6 +12,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/chiveyoke/chiveyoke/internal/policy/chivecap"
 	"github.com/chiveyoke/chiveyoke/internal/policy/chivesuspect"
 	"github.com/chiveyoke/chiveyoke/internal/run/chivehub"
 	"github.com/chiveyoke/chiveyoke/internal/state/chiveclock"
@@ -65,11 +66,14 @@
 	Facts
 }
 
-// Facts is what an entry VM has learned of prompts, itself or from others. Facts tell their
-// age, so that a digest may carry those of its sender alone: it has those of its zone.
+// Facts is what an entry VM has learned of prompts and runners, itself or from others. Facts
+// tell their age, so that a digest may carry those of its sender alone: it has those of its
+// zone.
 type Facts struct {
 	// Suspects holds the parts of prompts under which runners have crashed.
 	Suspects []chivesuspect.Fact `cbor:"suspects,omitempty"`
+	// Rates holds the request rates that runners have named.
+	Rates []chivecap.Fact `cbor:"rates,omitempty"`
 }
 
 // validate returns an error for facts that no entry VM sends.
@@ -79,6 +83,11 @@
 			return err
 		}
 	}
+	for i := range f.Rates {
+		if err := f.Rates[i].Validate(); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
--- a/internal/run/chiverelay/dialect.go
+++ b/internal/run/chiverelay/dialect.go
@@ -46,6 +46,14 @@
 	Signed bool
 	// NotRun reports whether the runner did not and will not run the request.
 	NotRun bool
+	// Misdirected reports that the response comes from another runner than the expected
+	// one, of which it says nothing.
+	Misdirected bool
+	// Rate is the number of requests per second that the runner accepts from all entry VMs
+	// together, nil if it names none. MalformedRate is the text of a rate that could not be
+	// decoded.
+	Rate          *float64
+	MalformedRate string
 	// Leaving reports that the runner takes no new requests.
 	Leaving bool
 	// Pause is how long the runner wants no requests from this entry VM, 0 if it has not
--- a/internal/run/chiverelay/migrate.go
+++ b/internal/run/chiverelay/migrate.go
@@ -148,6 +148,6 @@
 // request.
 func (x *exchange) reserveOptions() ReserveOptions {
 	return ReserveOptions{
-		Service: x.service, Zone: x.relay.Zone, Tried: x.tried, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Service: x.service, Zone: x.relay.Zone, Tried: x.tried, Rates: &x.relay.Rates, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
--- a/internal/run/chiverelay/notice.go
+++ b/internal/run/chiverelay/notice.go
@@ -159,6 +159,9 @@
 
 // applyNotices records what a runner says in the header of an answer.
 func (x *exchange) applyNotices(runner *chivefleet.Runner, r Response) {
+	if !r.Misdirected {
+		x.applyRate(runner, r)
+	}
 	if r.Leaving && x.relay.State.NoteLeaving(runner.Incarnation()) {
 		x.relay.Log.Info("Runner says that it is leaving.", "runner", runner.ID, "born", runner.StartedAtMillis, "request", x.request.ID)
 	}
@@ -171,6 +174,25 @@
 	}
 }
 
+// applyRate records the rate that a runner names in the header of an answer. A malformed one
+// changes nothing.
+func (x *exchange) applyRate(runner *chivefleet.Runner, r Response) {
+	if r.MalformedRate != "" {
+		x.relay.Log.Warn("Runner names a malformed rate.", "runner", runner.ID, "value", r.MalformedRate)
+		if r.Rate == nil {
+			return
+		}
+	}
+	if !x.relay.Rates.noteRate(runner.Incarnation(), r.Rate) {
+		return
+	}
+	if r.Rate == nil {
+		x.relay.Log.Info("Runner no longer names a rate.", "runner", runner.ID, "request", x.request.ID)
+		return
+	}
+	x.relay.Log.Info("Runner names the rate that it accepts.", "runner", runner.ID, "rate", *r.Rate, "request", x.request.ID)
+}
+
 // mayStillSend reports whether a runner that was chosen a moment ago may still get the
 // request, and sets the cause if not. Connecting may have taken long.
 func (x *exchange) mayStillSend(runner *chivefleet.Runner) bool {
--- a/internal/run/chiverelay/relay.go
+++ b/internal/run/chiverelay/relay.go
@@ -41,7 +41,9 @@
 	Pool    *chiverunner.Pool
 	// Crashes keeps prompts that crash runners from them.
 	Crashes CrashGuard
-	Log     *log.Logger
+	// Rates keeps requests within the rates that runners name.
+	Rates RateCaps
+	Log   *log.Logger
 	// Zone is the availability zone of this entry VM.
 	Zone string
 	// Fleet returns the newest view of the fleet.
--- a/internal/run/chiverelay/relay_test.go
+++ b/internal/run/chiverelay/relay_test.go
@@ -58,7 +58,11 @@
 func (testDialect) Response(resp *http.Response) Response {
 	// A missing header is no pause.
 	pause, _ := time.ParseDuration(resp.Header.Get("Pause"))
-	return Response{Signed: resp.Header.Get("Signature") != "", NotRun: resp.Header.Get("Notrun") != "", Leaving: resp.Header.Get("Leaving") != "", Pause: pause}
+	var rate *float64
+	if f, err := strconv.ParseFloat(resp.Header.Get("Rate"), 64); err == nil {
+		rate = &f
+	}
+	return Response{Rate: rate, MalformedRate: resp.Header.Get("Badrate"), Misdirected: resp.StatusCode == http.StatusMisdirectedRequest, Signed: resp.Header.Get("Signature") != "", NotRun: resp.Header.Get("Notrun") != "", Leaving: resp.Header.Get("Leaving") != "", Pause: pause}
 }
 
 func (testDialect) Returned(to, from http.Header) {
--- a/internal/run/chiverelay/runner_state.go
+++ b/internal/run/chiverelay/runner_state.go
@@ -276,6 +276,8 @@
 	Zone string
 	// Tried holds the IDs of the runners to which the request was already sent.
 	Tried map[string]bool
+	// Rates limits the requests to runners that name a rate; nil limits none.
+	Rates *RateCaps
 	// Rand is the source of random choices between runners.
 	Rand *rand.Rand
 }
@@ -295,7 +297,7 @@
 	candidates := make([]chivechoice.Candidate, 0, len(runners))
 	remaining := make([]*chivefleet.Runner, 0, len(runners))
 	for _, r := range runners {
-		if !rs.accepts(r) {
+		if !rs.accepts(r) || o.Rates != nil && !o.Rates.allows(r) {
 			continue
 		}
 		slots := r.Slots
@@ -325,6 +327,9 @@
 		}
 		if rs.admitSlowStart(remaining[i], o.Service, now) {
 			rs.localLoad[remaining[i].ID]++
+			if o.Rates != nil {
+				o.Rates.take(remaining[i])
+			}
 			return remaining[i]
 		}
 		candidates = append(candidates[:i], candidates[i+1:]...)
