Log a suspension also if a failed call has ended the waits already

A call whose time is over as the process wakes may fail before the suspension is noticed; it ends the waits with a line of its own, and the suspension was then not logged, since there was no wait left to end. The store was asked again all the same.

TestCausesOfEndedWaits failed before ("logged 0 times, want once").

--- a/internal/run/chivehub/wait.go
+++ b/internal/run/chivehub/wait.go
@@ -49,15 +49,30 @@
 func (s *Source) EndWaits(cause string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.endWaits(cause)
+	// Logged also if a failed call has ended the waits a moment ago.
+	s.cancelWaits()
+	s.logEndOfWaits(cause)
 }
 
-// endWaits implements EndWaits. The caller must hold s.mu.
+// endWaits ends the waits as EndWaits does, and logs that only if calls have begun to wait
+// since the last time. The caller must hold s.mu.
 func (s *Source) endWaits(cause string) {
+	if s.cancelWaits() {
+		s.logEndOfWaits(cause)
+	}
+}
+
+// cancelWaits ends the scope of all calls, and reports whether there was one. The caller must
+// hold s.mu.
+func (s *Source) cancelWaits() bool {
 	if s.waits == nil {
-		return
+		return false
 	}
 	s.waits.end()
 	s.waits = nil
+	return true
+}
+
+func (s *Source) logEndOfWaits(cause string) {
 	s.Log.Info("Asking the store again for all tables.", "cause", cause)
 }
--- a/internal/run/chivehub/wait_test.go
+++ b/internal/run/chivehub/wait_test.go
@@ -1,8 +1,10 @@
 package chivehub
 
 import (
+	"bytes"
 	"context"
 	"io"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -115,3 +117,35 @@
 		}
 	}
 }
+
+// TestCausesOfEndedWaits guards against a suspension that the log does not name, since a call
+// that failed as the process woke has ended the waits already.
+func TestCausesOfEndedWaits(t *testing.T) {
+	const failed, suspended = "a call was not answered", "this process was suspended"
+	tests := []struct {
+		give string
+		end  func(*Source)
+		want []string
+	}{
+		{"a suspension", func(s *Source) { s.EndWaits(suspended) }, []string{suspended}},
+		{"a failed call before a suspension is noticed", func(s *Source) {
+			s.endWaits(failed)
+			s.EndWaits(suspended)
+		}, []string{failed, suspended}},
+		{"two failed calls", func(s *Source) {
+			s.endWaits(failed)
+			s.endWaits(failed)
+		}, []string{failed}},
+	}
+	for _, tt := range tests {
+		var out bytes.Buffer
+		s := &Source{Log: log.New(&out)}
+		s.currentWaits()
+		tt.end(s)
+		for _, w := range tt.want {
+			if n := strings.Count(out.String(), w); n != 1 {
+				t.Errorf("%s: %q is logged %d times, want once:\n%s", tt.give, w, n, out.String())
+			}
+		}
+	}
+}
