Let the requests to a runner grow step by step once it names no rate, and count changes

A runner that was in need gets its usual requests back step by step now: twice as many every 2 s, all after 10 s. One answer without the header no longer lets go of it at once.

Facts about a rate count its changes now; the highest count holds.

--- a/internal/policy/chivecap/ledger.go
+++ b/internal/policy/chivecap/ledger.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"errors"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -29,9 +30,11 @@
 	minBurst  = 2
 	// capLifetime is how long a named rate is remembered after its last report.
 	capLifetime = 10 * time.Minute
-	// newsSlack is the difference from which a later report of another entry VM is news.
-	// Reports that are passed on grow younger by the delay of the network.
-	newsSlack = 100 * time.Millisecond
+	// recoveryDoubling is the time in which the rate of a runner doubles after it has ceased to
+	// name one, and recoveryTime that after which it is not limited: it was in need, and may
+	// answer once without the rate that it goes on to name.
+	recoveryDoubling = 2 * time.Second
+	recoveryTime     = 10 * time.Second
 	// maxRecords bounds the runners with a named rate, maxSentFacts what is sent to other
 	// entry VMs, and maxNameLength the length in bytes of the name of a runner.
 	maxRecords    = 1024
@@ -46,14 +49,17 @@
 	Runner string `cbor:"runner"`
 	// Rate is in requests per second. It is not set if the runner has ceased to name one.
 	Rate *float64 `cbor:"rate,omitempty"`
+	// Version counts the changes of what the runner says. The highest one holds: ages grow
+	// younger by the delay of the network each time that a fact is passed on.
+	Version int64 `cbor:"version"`
 	// Age is how long ago the runner answered so.
 	Age time.Duration `cbor:"age"`
 }
 
 // Validate returns an error for a fact that no entry VM sends.
 func (f *Fact) Validate() error {
-	if f.Runner == "" || len(f.Runner) > maxNameLength || f.Age < 0 || f.Rate != nil && !(*f.Rate >= 0) {
-		return errors.New("fact of a rate has no or a long runner, a negative age or a rate that is not a number")
+	if f.Runner == "" || len(f.Runner) > maxNameLength || f.Age < 0 || f.Version < 1 || f.Rate != nil && !(*f.Rate >= 0) {
+		return errors.New("fact of a rate has no or a long runner, no version, a negative age or a rate that is not a number")
 	}
 	return nil
 }
@@ -79,8 +85,10 @@
 type record struct {
 	// limited reports whether the runner names a rate.
 	limited bool
+	// rate is what it names, or named last.
 	rate    float64
-	// namedAt is when the runner last answered so.
+	version int64
+	// namedAt is when the runner last answered so, or first if it names no rate any more.
 	namedAt time.Duration
 	// tokens is the number of requests that may be sent as of filledAt.
 	tokens   float64
@@ -107,16 +115,27 @@
 	if r == nil && rate == nil {
 		return false
 	}
-	before := record{}
+	if r != nil && r.says(rate) {
+		if r.limited {
+			r.namedAt = now
+		}
+		return false
+	}
+	version := int64(1)
 	if r != nil {
-		before = *r
+		version = r.version + 1
 	}
-	l.set(runner, rate, now, now)
-	return before.limited != (rate != nil) || rate != nil && before.rate != *rate
+	l.set(runner, rate, version, now, now)
+	return true
+}
+
+// says reports whether the runner has last named a rate, or none if rate is nil.
+func (r *record) says(rate *float64) bool {
+	return r.limited == (rate != nil) && (rate == nil || r.rate == *rate)
 }
 
-// set records the rate that a runner named at a moment.
-func (l *Ledger) set(runner string, rate *float64, namedAt, now time.Duration) {
+// set records the rate that a runner named at a moment, as a version of what it says.
+func (l *Ledger) set(runner string, rate *float64, version int64, namedAt, now time.Duration) {
 	r := l.records[runner]
 	if r == nil {
 		if len(l.records) >= maxRecords {
@@ -128,7 +147,7 @@
 		r = &record{tokens: 1, filledAt: now}
 		l.records[runner] = r
 	}
-	r.namedAt, r.limited = namedAt, rate != nil
+	r.namedAt, r.limited, r.version = namedAt, rate != nil, version
 	if rate != nil {
 		r.rate = *rate
 	}
@@ -145,11 +164,15 @@
 
 // Allow reports whether this entry VM may send a request to a runner in a zone.
 func (l *Ledger) Allow(runner, zone string, now time.Duration) bool {
-	if _, ok := l.Rate(runner, now); !ok {
+	r := l.records[runner]
+	if r == nil {
 		return true
 	}
-	r := l.records[runner]
-	share := l.share(runner, zone, r)
+	rate, ok := r.accepted(now)
+	if !ok {
+		return true
+	}
+	share := l.share(runner, zone, r, rate)
 	r.tokens = min(max(minBurst, share*burstTime.Seconds()), r.tokens+share*(now-r.filledAt).Seconds())
 	r.filledAt = now
 	return share > 0 && r.tokens >= 1
@@ -162,18 +185,27 @@
 	}
 }
 
-// share returns the part of a runner's rate that this entry VM may use. A rate is shared
+// accepted returns the rate at which the runner gets requests, and false if it is not limited.
+func (r *record) accepted(now time.Duration) (rate float64, ok bool) {
+	rate = max(minRate, usedFraction*r.rate)
+	since := now - r.namedAt
+	if r.limited {
+		return rate, since <= capLifetime
+	}
+	return rate * math.Exp2(since.Seconds()/recoveryDoubling.Seconds()), since < recoveryTime
+}
+
+// share returns the part of the rate of a runner that this entry VM may use. A rate is shared
 // evenly by as many entry VMs as get minSenderRate each, those of the runner's zone first.
-func (l *Ledger) share(runner, zone string, r *record) float64 {
+func (l *Ledger) share(runner, zone string, r *record, rate float64) float64 {
 	if r.positionVersion != l.sendersVersion {
 		r.position, r.positionVersion = l.position(runner, zone), l.sendersVersion
 	}
-	total := max(minRate, usedFraction*r.rate)
-	count := max(1, int(min(total/minSenderRate, float64(len(l.senders)))))
+	count := max(1, int(min(rate/minSenderRate, float64(len(l.senders)))))
 	if r.position >= count || len(l.senders) == 0 {
 		return 0
 	}
-	return total / float64(count)
+	return rate / float64(count)
 }
 
 // position returns the position of this entry VM among those that may send to a runner: those
@@ -199,12 +231,27 @@
 func (l *Ledger) Merge(facts []Fact, delay, now time.Duration) {
 	for _, f := range facts {
 		namedAt := now - delay - f.Age
-		r := l.records[f.Runner]
-		if r == nil && f.Rate == nil || r != nil && namedAt <= r.namedAt+newsSlack || now-namedAt > capLifetime {
+		if now-namedAt > capLifetime {
 			continue
 		}
-		l.set(f.Runner, f.Rate, namedAt, now)
+		r := l.records[f.Runner]
+		switch {
+		case r == nil && f.Rate == nil:
+		case r == nil || r.precedes(&f):
+			l.set(f.Runner, f.Rate, f.Version, namedAt, now)
+		case r.version == f.Version && r.limited:
+			r.namedAt = max(r.namedAt, namedAt)
+		}
+	}
+}
+
+// precedes reports whether a fact replaces the record. Of two changes that two entry VMs saw
+// at the same time, the one with a rate and then the lower rate holds, until the next answer.
+func (r *record) precedes(f *Fact) bool {
+	if f.Version != r.version || f.Rate == nil {
+		return f.Version > r.version
 	}
+	return !r.limited || *f.Rate < r.rate
 }
 
 // Facts returns what is to be sent to the other entry VMs, the latest first.
@@ -215,7 +262,7 @@
 	l.prune(now)
 	facts := make([]Fact, 0, len(l.records))
 	for runner, r := range l.records {
-		f := Fact{Runner: runner, Age: max(0, now-r.namedAt)}
+		f := Fact{Runner: runner, Version: r.version, Age: max(0, now-r.namedAt)}
 		if r.limited {
 			rate := r.rate
 			f.Rate = &rate
