Send facts about rates in turn

A report holds the 16 latest changes and 8 of the other facts, which take turns (TestFactsTakeTurns).

--- a/internal/policy/chivecap/ledger.go
+++ b/internal/policy/chivecap/ledger.go
@@ -35,11 +35,14 @@
 	// answer once without the rate that it goes on to name.
 	recoveryDoubling = 2 * time.Second
 	recoveryTime     = 10 * time.Second
-	// maxRecords bounds the runners with a named rate, maxSentFacts what is sent to other
-	// entry VMs, and maxNameLength the length in bytes of the name of a runner.
+	// maxRecords bounds the runners with a named rate, and maxNameLength the length in bytes
+	// of the name of a runner.
 	maxRecords    = 1024
-	maxSentFacts  = 128
 	maxNameLength = 256
+	// maxSentChanges bounds the latest changes in a report, and maxSentOthers the other facts,
+	// which take turns.
+	maxSentChanges = 16
+	maxSentOthers  = 8
 )
 
 // Fact is the request rate that a runner has named last. It is sent to other entry VMs, with
@@ -79,6 +82,8 @@
 	senders []Sender
 	// sendersVersion counts the calls that changed senders.
 	sendersVersion int
+	// lastSent is the last runner of those that take turns in reports.
+	lastSent string
 }
 
 // record is what is known of a runner.
@@ -90,6 +95,8 @@
 	version int64
 	// namedAt is when the runner last answered so, or first if it names no rate any more.
 	namedAt time.Duration
+	// changedAt is when this entry VM learned of the last change.
+	changedAt time.Duration
 	// tokens is the number of requests that may be sent as of filledAt.
 	tokens   float64
 	filledAt time.Duration
@@ -147,7 +154,7 @@
 		r = &record{tokens: 1, filledAt: now}
 		l.records[runner] = r
 	}
-	r.namedAt, r.limited, r.version = namedAt, rate != nil, version
+	r.namedAt, r.changedAt, r.limited, r.version = namedAt, now, rate != nil, version
 	if rate != nil {
 		r.rate = *rate
 	}
@@ -254,23 +261,40 @@
 	return !r.limited || *f.Rate < r.rate
 }
 
-// Facts returns what is to be sent to the other entry VMs, the latest first.
+// Facts returns what is to be sent to the other entry VMs: the latest changes, and some of the
+// other facts in turn.
 func (l *Ledger) Facts(now time.Duration) []Fact {
 	if len(l.records) == 0 {
 		return nil
 	}
 	l.prune(now)
-	facts := make([]Fact, 0, len(l.records))
-	for runner, r := range l.records {
-		f := Fact{Runner: runner, Version: r.version, Age: max(0, now-r.namedAt)}
-		if r.limited {
-			rate := r.rate
-			f.Rate = &rate
-		}
-		facts = append(facts, f)
+	runners := slices.SortedFunc(maps.Keys(l.records), func(a, b string) int {
+		return cmp.Or(cmp.Compare(l.records[b].changedAt, l.records[a].changedAt), cmp.Compare(a, b))
+	})
+	latest := min(len(runners), maxSentChanges)
+	others := runners[latest:]
+	slices.Sort(others)
+	next, _ := slices.BinarySearch(others, l.lastSent+"\x00")
+	facts := make([]Fact, 0, maxSentChanges+maxSentOthers)
+	for _, runner := range runners[:latest] {
+		facts = append(facts, l.fact(runner, now))
+	}
+	for i := range min(len(others), maxSentOthers) {
+		l.lastSent = others[(next+i)%len(others)]
+		facts = append(facts, l.fact(l.lastSent, now))
+	}
+	return facts
+}
+
+// fact returns what is known of a runner.
+func (l *Ledger) fact(runner string, now time.Duration) Fact {
+	r := l.records[runner]
+	f := Fact{Runner: runner, Version: r.version, Age: max(0, now-r.namedAt)}
+	if r.limited {
+		rate := r.rate
+		f.Rate = &rate
 	}
-	slices.SortFunc(facts, func(a, b Fact) int { return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Runner, b.Runner)) })
-	return facts[:min(len(facts), maxSentFacts)]
+	return f
 }
 
 // Count returns the number of runners that name a rate.
--- a/internal/policy/chivecap/ledger_test.go
+++ b/internal/policy/chivecap/ledger_test.go
@@ -303,8 +303,33 @@
 	for i := range 3 * maxRecords {
 		l.Merge([]Fact{{Runner: fmt.Sprint("r", i), Rate: &rate, Version: 1, Age: time.Duration(i % 100)}}, 0, time.Hour)
 	}
-	if len(l.records) > maxRecords || len(l.Facts(time.Hour)) > maxSentFacts {
-		t.Errorf("%d records, %d facts", len(l.records), len(l.Facts(time.Hour)))
+	if n, sent := len(l.records), len(l.Facts(time.Hour)); n > maxRecords || sent > maxSentChanges+maxSentOthers {
+		t.Errorf("%d records, %d facts", n, sent)
+	}
+}
+
+// TestFactsTakeTurns checks that all facts are sent within some reports, and changes at once.
+func TestFactsTakeTurns(t *testing.T) {
+	const runners = 200
+	l := &Ledger{}
+	rate := 2.0
+	now := time.Hour
+	for i := range runners {
+		l.SetRate(fmt.Sprint("r", i), &rate, now)
+		now += time.Millisecond
+	}
+	sent := map[string]bool{}
+	for range runners/maxSentOthers + 1 {
+		for _, f := range l.Facts(now) {
+			sent[f.Runner] = true
+		}
+	}
+	if len(sent) < runners {
+		t.Errorf("%d of %d facts were sent", len(sent), runners)
+	}
+	l.SetRate("r77", nil, now)
+	if facts := l.Facts(now); facts[0].Runner != "r77" || facts[0].Rate != nil {
+		t.Errorf("the first fact is %+v, want the latest change", facts[0])
 	}
 }
 
