Refuse a request at once if none of its runners can be reached

What callers saw: while no process listened at the addresses of a service's runners, each request connected to them again and again, without a pause, until its deadline: 5 s in the test, thousands of connections, and the lines of its attempts crowded others out of the log. A stream that had broken off took a retry from the budget of the service for each connection that was refused, until none was left for others.

Cause: a runner that cannot be reached was only made less likely, never left out, and the number of attempts counts only those that were sent.

TestExplain: a refusal for a part that crashes runners is explained.

--- a/internal/bench/chiveplatform/site_test.go
+++ b/internal/bench/chiveplatform/site_test.go
@@ -220,12 +220,22 @@
 	}
 }
 
-// TestExplain checks that the explain command finds the causes of failures in the logs: an
-// aborted stream, a lost answer, an answer without an end, runners that ask for a pause or
+// TestExplain checks that the explain command finds the causes of failures in the logs: a part
+// that crashes runners, an aborted stream, a lost answer, an answer without an end, runners that ask for a pause or
 // leave, and keys that are out of date.
 func TestExplain(t *testing.T) {
 	s := startSite(t, 4, 1, 2)
 	e, ctx := s.EntryVMs[0], context.WithoutCancel(t.Context())
+	s.CrashOnPart("bad")
+	for i := 0; i < 40; i++ {
+		if a := SendPrompt(ctx, &http.Client{}, e.CallerAddress(), "stream", fmt.Sprint("crash-", i), "k1", "bad:60,own:20"); strings.Contains(a.Body, "crashes") {
+			break
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	SendPrompt(ctx, &http.Client{}, e.CallerAddress(), "stream", "excluded", "k1", "aa:40,bad:60,own:20")
+	s.CrashOnPart("")
+	time.Sleep(2 * restartTime)
 	for _, r := range s.Runners {
 		r.SetFailureRate(1)
 	}
@@ -258,6 +268,7 @@
 		give string
 		want []string
 	}{
+		{"excluded", []string{"not-run", "part bad of the prompt crashes runners", "503"}},
 		{"torn", []string{"broke off its stream after event", "stream broke"}},
 		{"lost", []string{"may-have-run", "broke off", "502"}},
 		{"endless", []string{"may-have-run", "may have no end", "502"}},
--- a/internal/run/chiverelay/attempt.go
+++ b/internal/run/chiverelay/attempt.go
@@ -29,6 +29,7 @@
 		}
 		x.recordFailure(ctx, runner.ID, fmt.Sprintf("runner %s cannot be reached: %v", runner.ID, err))
 		x.tried[runner.ID] = true
+		x.noteUnreachable(runner)
 		return false
 	}
 	if !x.mayStillSend(runner) {
@@ -36,6 +37,7 @@
 		return false
 	}
 	x.attempts++
+	x.retryTaken = false
 	x.tried[runner.ID] = true
 	match := func(resp *http.Response) bool { return x.relay.Dialect.Matches(x.request.ID, resp) }
 	resp, stop, err := conn.Exchange(ctx, x.r, x.requestHeader(runner), x.body, match)
--- a/internal/run/chiverelay/relay.go
+++ b/internal/run/chiverelay/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -109,6 +110,11 @@
 	// tried holds the IDs of the runners that were tried, including those that
 	// could not be reached.
 	tried map[string]bool
+	// unreachableUntil holds until when runners that could not be reached get no further
+	// attempt.
+	unreachableUntil map[chivefleet.Incarnation]chiveclock.Moment
+	// retryTaken reports whether the next attempt is charged to the retry budget already.
+	retryTaken bool
 	// attempts counts how often the request was sent to a runner.
 	attempts int
 	// runnerID is the runner of the latest attempt.
@@ -226,9 +232,10 @@
 		x.cause = "too little time is left"
 		return nil
 	}
-	usable := x.openRunners()
+	open := x.openRunners()
+	usable := x.reachable(slices.Clone(open))
 	runner := x.relay.State.Reserve(usable, x.chooser(), x.reserveOptions())
-	if runner == nil && x.cause == "" {
+	if runner == nil && (x.cause == "" || len(usable) < len(open)) {
 		x.unavailable = len(usable) == 0
 		switch {
 		case x.pauseLeft > 0:
@@ -237,6 +244,8 @@
 			x.cause = "all runners say that they are leaving"
 		case x.groupClosed:
 			x.cause = "the group of ranks is not open"
+		case len(open) > 0 && x.unavailable:
+			x.cause = "no runner can be reached"
 		case x.unavailable:
 			x.cause = "the service has no runner"
 		default:
@@ -288,7 +297,8 @@
 	if x.attempts >= max(1, x.route.MaxAttempts) {
 		return false
 	}
-	return x.relay.State.TakeRetry(x.service.Name)
+	x.retryTaken = x.retryTaken || x.relay.State.TakeRetry(x.service.Name)
+	return x.retryTaken
 }
 
 // respondUnserved ends an exchange without a successful response: it responds with
