Let runners crash under a part and name limits in the soak

The soak's troubles send prompts with a part that crashes runners and let runners name limits, beside kills, suspensions, links and the store; it checks how many requests with the part reach runners after the fifth crash, and the requests to a runner under a limit, from entry VMs without a fault.

--- a/internal/bench/chiveplatform/crash.go
+++ b/internal/bench/chiveplatform/crash.go
@@ -1,6 +1,7 @@
 package chiveplatform
 
 import (
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -9,8 +10,15 @@
 // headerPromptParts holds the parts of a prompt.
 const headerPromptParts = "Chiveyoke-Prefix-Hash"
 
-// restartTime is how long a runner that has crashed is gone.
-const restartTime = 800 * time.Millisecond
+const (
+	// restartTime is how long a runner that has crashed is gone.
+	restartTime = 800 * time.Millisecond
+	// crashLimit is the number of crashes after which a part must be known, and
+	// maxRequestsWithPart how many requests with it may reach runners from contactTime
+	// after them on.
+	crashLimit          = 5
+	maxRequestsWithPart = 3
+)
 
 // crashLog lets a runner crash when it begins to answer a prompt with a certain part, and
 // records what reached it. The zero value is the log of a runner that no prompt crashes. It
@@ -21,9 +29,9 @@
 	part string
 	// onCrash ends the incarnation of the runner. It reports whether nothing else has.
 	onCrash func() bool
-	// arrivals holds when requests with the part arrived, crashedAt when the runner
-	// crashed.
-	arrivals, crashedAt []time.Time
+	// arrivals holds the requests with the part, crashedAt when the runner crashed.
+	arrivals  []arrival
+	crashedAt []time.Time
 }
 
 // CrashOnPart makes the runners crash whenever they begin to answer a prompt with the given
@@ -61,11 +69,11 @@
 }
 
 // arrive records a request with the part that crashes the runner.
-func (c *crashLog) arrive(parts string) {
+func (c *crashLog) arrive(id, parts string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.part != "" && holdsPart(parts, c.part) {
-		c.arrivals = append(c.arrivals, time.Now())
+		c.arrivals = append(c.arrivals, arrival{id: id, at: time.Now()})
 	}
 }
 
@@ -85,9 +93,31 @@
 	}
 }
 
-// times returns when requests with the part arrived and when the runner crashed.
-func (c *crashLog) times() (arrivals, crashes []time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return append(arrivals, c.arrivals...), append(crashes, c.crashedAt...)
+// crashTimes returns the requests with the part that reached the runners and the times of
+// their crashes, in order.
+func (s *Site) crashTimes() (arrivals []arrival, crashes []time.Time) {
+	for _, r := range s.Runners {
+		r.crashes.mu.Lock()
+		arrivals, crashes = append(arrivals, r.crashes.arrivals...), append(crashes, r.crashes.crashedAt...)
+		r.crashes.mu.Unlock()
+	}
+	slices.SortFunc(arrivals, func(a, b arrival) int { return a.at.Compare(b.at) })
+	slices.SortFunc(crashes, time.Time.Compare)
+	return arrivals, crashes
+}
+
+// lateRequests counts the requests with the part that reached runners later than contactTime
+// after the fifth crash and that counted accepts.
+func (s *Site) lateRequests(counted func(arrival) bool) (late int) {
+	arrivals, crashes := s.crashTimes()
+	if len(crashes) < crashLimit {
+		return 0
+	}
+	known := crashes[crashLimit-1].Add(contactTime)
+	for _, a := range arrivals {
+		if a.at.After(known) && counted(a) {
+			late++
+		}
+	}
+	return late
 }
--- a/internal/bench/chiveplatform/crash_test.go
+++ b/internal/bench/chiveplatform/crash_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -14,11 +13,6 @@
 )
 
 const (
-	// crashLimit is the number of crashes after which a part must be known, and
-	// maxRequestsWithPart how many requests with it may reach runners from contactTime
-	// after them on.
-	crashLimit          = 5
-	maxRequestsWithPart = 3
 	// callerSpacing and badSpacing are the times between two sound requests and between
 	// two with the part that crashes runners.
 	callerSpacing = 30 * time.Millisecond
@@ -105,18 +99,12 @@
 	trouble()
 	time.Sleep(2 * contactTime)
 	during := share(3 * time.Second)
-	arrivals, crashes := s.crashTimes()
+	_, crashes := s.crashTimes()
 	if len(crashes) == 0 {
 		t.Fatal("no runner crashed")
 	}
-	known := crashes[min(len(crashes), crashLimit)-1].Add(contactTime)
-	late := 0
-	for _, at := range arrivals {
-		if at.After(known) {
-			late++
-		}
-	}
-	if len(crashes) >= crashLimit && late > maxRequestsWithPart {
+	late := s.lateRequests(func(arrival) bool { return true })
+	if late > maxRequestsWithPart {
 		t.Errorf("%d requests with the part reached runners later than %v after the fifth crash, want at most %d; %d crashes", late, contactTime, maxRequestsWithPart, len(crashes))
 	}
 	if during < before/2 {
@@ -125,17 +113,6 @@
 	t.Logf("%d crashes, %d late requests with the part, sound served %.2f before and %.2f during", len(crashes), late, before, during)
 }
 
-// crashTimes returns the times of all arrivals and crashes at the runners, in order.
-func (s *Site) crashTimes() (arrivals, crashes []time.Time) {
-	for _, r := range s.Runners {
-		a, c := r.crashes.times()
-		arrivals, crashes = append(arrivals, a...), append(crashes, c...)
-	}
-	slices.SortFunc(arrivals, time.Time.Compare)
-	slices.SortFunc(crashes, time.Time.Compare)
-	return arrivals, crashes
-}
-
 // TestCrashOnPart checks that only prompts with the part crash the stand-in of a runner.
 func TestCrashOnPart(t *testing.T) {
 	tests := []struct {
--- a/internal/bench/chiveplatform/limit_test.go
+++ b/internal/bench/chiveplatform/limit_test.go
@@ -12,11 +12,6 @@
 )
 
 const (
-	// limitWindow is the span in which a runner that has named a limit may get limitOverrun
-	// times what that allows, and limitSlack more.
-	limitWindow  = 4 * time.Second
-	limitOverrun = 1.5
-	limitSlack   = 5
 	// recoveryBound is the time after which a runner that names no limit any more must get
 	// its usual requests. It was in need, so that they return step by step.
 	recoveryBound = 10 * time.Second
--- a/internal/bench/chiveplatform/noticelog.go
+++ b/internal/bench/chiveplatform/noticelog.go
@@ -19,8 +19,13 @@
 	maxPauseArrivals = 2
 	// headerIncarnation tells callers which incarnation of a runner has answered.
 	headerIncarnation = "Incarnation"
-	headerLeaving     = "Server-Leaving"
-	headerLimit       = "Server-Limit"
+	// limitWindow is the span in which a runner that has named a limit may get limitOverrun
+	// times what that allows, and limitSlack more.
+	limitWindow   = 4 * time.Second
+	limitOverrun  = 1.5
+	limitSlack    = 5
+	headerLeaving = "Server-Leaving"
+	headerLimit   = "Server-Limit"
 )
 
 // noticeLog records the requests that reached a runner, and what the runner has said of
@@ -45,6 +50,8 @@
 	at          time.Time
 	// pause is what the runner asked for in its answer, or 0.
 	pause time.Duration
+	// limit is what it named in its answer, or 0.
+	limit float64
 }
 
 // arrive records a request, adds the notices to the header of its answer and returns the
@@ -53,7 +60,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := time.Now()
-	a := arrival{id: id, incarnation: n.incarnation, at: now}
+	a := arrival{id: id, incarnation: n.incarnation, at: now, limit: n.limit}
 	if now.Before(n.pauseEnd) {
 		a.pause = n.pause
 	}
@@ -135,6 +142,7 @@
 				break
 			}
 		}
+		list = append(list, limitViolation(runner, a, arrivals, sent, excused)...)
 		end := a.at.Add(a.pause)
 		late := 0
 		for _, o := range arrivals {
@@ -148,3 +156,25 @@
 	}
 	return list
 }
+
+// limitViolation describes more requests than the limit allows that a runner names in its
+// answer to a request, in the span of limitWindow from that request on. Counted are those from
+// entry VMs that it had told for contactTime and that had no fault since.
+func limitViolation(runner string, a arrival, arrivals []arrival, sent map[string]sending, excused func(entry string, from, to time.Time) bool) []string {
+	told := map[string]bool{}
+	count, end := 0, a.at.Add(limitWindow)
+	for _, o := range arrivals {
+		entry := sent[o.id].entry
+		switch {
+		case a.limit == 0 || o.limit != a.limit || o.incarnation != a.incarnation || entry == "" || !o.at.Before(end):
+		case o.at.Before(a.at.Add(-contactTime)):
+			told[entry] = true
+		case !o.at.Before(a.at) && told[entry] && !excused(entry, a.at.Add(-contactTime), end):
+			count++
+		}
+	}
+	if allowed := limitOverrun*a.limit*limitWindow.Seconds() + limitSlack; float64(count) > allowed {
+		return []string{fmt.Sprintf("%d requests reached %s in %v, which had named a limit of %v a second: %.0f are allowed", count, runner, limitWindow, a.limit, allowed)}
+	}
+	return nil
+}
--- a/internal/bench/chiveplatform/noticelog_test.go
+++ b/internal/bench/chiveplatform/noticelog_test.go
@@ -58,3 +58,47 @@
 		}
 	}
 }
+
+// TestLimitViolation checks which requests count as violations of a limit of one request a
+// second, of which a span of 4 s may have eleven.
+func TestLimitViolation(t *testing.T) {
+	start := time.Now()
+	spread := func(entry string, from, to float64, count int, limit float64) (list []arrival) {
+		for i := range count {
+			s := from + (to-from)*float64(i)/float64(count)
+			list = append(list, arrival{id: fmt.Sprintf("%s at %.3f", entry, s), at: start.Add(time.Duration(s * float64(time.Second))), limit: limit})
+		}
+		return list
+	}
+	never := func(string, time.Time, time.Time) bool { return false }
+	always := func(string, time.Time, time.Time) bool { return true }
+	told := spread("e", 0, 1, 1, 1)
+	tests := []struct {
+		give    string
+		list    []arrival
+		excused func(string, time.Time, time.Time) bool
+		violate bool
+	}{
+		{"eleven", append(told, spread("e", 10, 13.9, 11, 1)...), never, false},
+		{"twelve", append(told, spread("e", 10, 13.9, 12, 1)...), never, true},
+		{"twelve, not told before", spread("e", 10, 13.9, 12, 1), never, false},
+		{"twelve, from another entry VM", append(told, spread("f", 10, 13.9, 12, 1)...), never, false},
+		{"twelve, with a fault", append(told, spread("e", 10, 13.9, 12, 1)...), always, false},
+		{"twelve, no limit named", append(told, spread("e", 10, 13.9, 12, 0)...), never, false},
+		{"twelve in a longer span", append(told, spread("e", 10, 15, 12, 1)...), never, false},
+	}
+	for _, tt := range tests {
+		sent := map[string]sending{}
+		for _, a := range tt.list {
+			entry, _, _ := strings.Cut(a.id, " ")
+			sent[a.id] = sending{entry: entry, at: a.at}
+		}
+		found := false
+		for _, a := range tt.list {
+			found = found || len(limitViolation("r", a, tt.list, sent, tt.excused)) > 0
+		}
+		if found != tt.violate {
+			t.Errorf("%s: violation %t", tt.give, found)
+		}
+	}
+}
--- a/internal/bench/chiveplatform/runner.go
+++ b/internal/bench/chiveplatform/runner.go
@@ -114,7 +114,7 @@
 	}
 	id := q.Header.Get("Chiveyoke-Attempt-Id")
 	w.Header().Set("Chiveyoke-Instance-Id", r.ID)
-	r.crashes.arrive(q.Header.Get(headerPromptParts))
+	r.crashes.arrive(id, q.Header.Get(headerPromptParts))
 	if pause := r.notices.arrive(id, w.Header()); pause > 0 {
 		w.Header().Set("Chiveyoke-Not-Executed", "1")
 		w.Header().Set("Retry-After", strconv.FormatFloat(pause.Seconds(), 'f', 2, 64))
--- a/internal/bench/chiveplatform/soak.go
+++ b/internal/bench/chiveplatform/soak.go
@@ -47,8 +47,8 @@
 	// Silences makes all connections to the store silent for good, again and again,
 	// beside the other faults.
 	Silences bool
-	// Troubles lets runners leave, ask for pauses and answer without an end, and entry VMs
-	// stop in series, beside the other faults.
+	// Troubles lets runners leave, ask for pauses, name limits, answer without an end and crash
+	// under a part of prompts, and entry VMs stop in series, beside the other faults.
 	Troubles bool
 	// EntryVMs and Runners are the numbers of entry VMs and of runners.
 	EntryVMs int
@@ -144,6 +144,7 @@
 	if p.Troubles {
 		otherFaults.Go(func() { p.troubleRunners(faultCtx) })
 		otherFaults.Go(func() { p.stopInSeries(faultCtx) })
+		otherFaults.Go(func() { p.crashRunners(faultCtx) })
 	}
 	p.injectFaults(ctx)
 	endFaults()
@@ -412,6 +413,7 @@
 	}
 	p.result.Violations = append(p.result.Violations, p.site.history.violations()...)
 	p.checkNotices()
+	p.checkCrashes()
 	p.result.Probes = len(p.site.history.probes)
 	sent, served := 0, 0
 	for id, a := range p.answers {
--- a/internal/bench/chiveplatform/trouble.go
+++ b/internal/bench/chiveplatform/trouble.go
@@ -2,20 +2,28 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"strconv"
+	"sync"
 	"syscall"
 	"time"
 )
 
-// troubleRunners lets one runner after the other leave and start again, ask for pauses, or
-// answer without an end, until the context ends.
+// troubleRunners lets one runner after the other leave and start again, ask for pauses, name a
+// limit or answer without an end, until the context ends.
 func (p *soakRun) troubleRunners(ctx context.Context) {
 	rng := rand.New(rand.NewPCG(p.Seed, 5))
 	for sleep(ctx, time.Duration(200+rng.IntN(800))*time.Millisecond) {
 		i := rng.IntN(len(p.site.Runners))
 		r := p.site.Runners[i]
-		switch rng.IntN(3) {
+		switch rng.IntN(4) {
+		case 3:
+			p.countFault("runner names a limit")
+			r.notices.nameLimit(0.5 + 4*rng.Float64())
+			sleep(ctx, time.Duration(rng.IntN(8000))*time.Millisecond)
+			r.notices.nameLimit(0)
 		case 0:
 			p.countFault("runner leaves")
 			p.leaveAndRestart(ctx, rng, i)
@@ -108,6 +116,40 @@
 	p.leaving = append(p.leaving, leavingAnswer{entry: entry, runner: a.Header.Get("Chiveyoke-Instance-Id"), incarnation: incarnation, at: time.Now()})
 }
 
+// crashRunners sends prompts with a part that crashes runners to random entry VMs, until the
+// context ends.
+func (p *soakRun) crashRunners(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(p.Seed, 7))
+	if !sleep(ctx, time.Duration(rng.IntN(3000))*time.Millisecond) {
+		return
+	}
+	p.countFault("part crashes runners")
+	p.site.CrashOnPart("bad")
+	defer p.site.CrashOnPart("")
+	client := &http.Client{Timeout: 6 * time.Second}
+	defer client.CloseIdleConnections()
+	var senders sync.WaitGroup
+	defer senders.Wait()
+	for n := 0; sleep(ctx, time.Duration(50+rng.IntN(400))*time.Millisecond); n++ {
+		e, id := p.site.EntryVMs[rng.IntN(len(p.site.EntryVMs))], fmt.Sprint("bad-", n)
+		p.recordSending(id, e.Name)
+		parts := fmt.Sprintf("aa:40,bad:60,own-%d:20", n)
+		senders.Go(func() { SendPrompt(ctx, client, e.CallerAddress(), "stream", id, "key", parts) })
+	}
+}
+
+// checkCrashes checks how many requests with the part that crashes runners reached them from
+// entry VMs without a fault.
+func (p *soakRun) checkCrashes() {
+	late := p.site.lateRequests(func(a arrival) bool {
+		entry := p.sent[a.id].entry
+		return !p.site.history.hadFault(entry, a.at.Add(-2*contactTime), a.at)
+	})
+	if late > maxRequestsWithPart {
+		p.addViolation("%d requests with a part that crashes runners reached them later than %v after the fifth crash", late, contactTime)
+	}
+}
+
 // checkNotices adds the violations of noticeViolations at each runner.
 func (p *soakRun) checkNotices() {
 	for i, r := range p.site.Runners {
