Exclude no part by crashes at once that an entry VM sees right after its start

Four crashes in one incident count only from 20 requests on; facts carry the number that was seen, so that an entry VM that has started anew still learns of parts from the others. Weighed and not taken: no exclusion of parts that many requests have. A part with 17 in 100 of them, whose runners keep their incarnation while the store is away, was then never excluded (66 late requests in TestPartCrashesRunners).

TestPartCrashesRunners: 6 crashes and no late request in each case.

--- a/internal/policy/chivesuspect/fact.go
+++ b/internal/policy/chivesuspect/fact.go
@@ -18,6 +18,9 @@
 	// Answered is how long ago a runner last answered a request with the part without a
 	// crash, 0 if none is known to have done so.
 	Answered time.Duration `cbor:"answered,omitempty"`
+	// Requests is the largest number of requests that an entry VM has seen which knows of the
+	// crashes.
+	Requests int `cbor:"requests,omitempty"`
 }
 
 // Crash is the crash of a runner.
@@ -34,8 +37,8 @@
 
 // Validate returns an error for a fact that no entry VM sends.
 func (f *Fact) Validate() error {
-	if f.Part == "" || len(f.Part) > maxNameLength || f.Answered < 0 || len(f.Crashes) > maxSentCrashes {
-		return errors.New("fact of a part has no or a long ID, a negative age or too many crashes")
+	if f.Part == "" || len(f.Part) > maxNameLength || f.Answered < 0 || f.Requests < 0 || len(f.Crashes) > maxSentCrashes {
+		return errors.New("fact of a part has no or a long ID, a negative age or number, or too many crashes")
 	}
 	for _, c := range f.Crashes {
 		if c.Runner == "" || len(c.Runner) > maxNameLength || c.Age < 0 {
--- a/internal/policy/chivesuspect/ledger.go
+++ b/internal/policy/chivesuspect/ledger.go
@@ -27,9 +27,11 @@
 	minCrashes = 3
 	maxCrashes = 5
 	maxChance  = 1e-6
-	// The crashes are in minIncidents incidents, or minCrashesAtOnce or more.
+	// The crashes are in minIncidents incidents, or minCrashesAtOnce or more once minRequests
+	// were seen: before, no part was answered, and all runners may crash under any of them.
 	minIncidents     = 2
 	minCrashesAtOnce = 4
+	minRequests      = 20
 	// A part that was answered before is excluded after maxCrashes crashes since then, if at
 	// most maxShare of all requests have it: others can't be told from the requests that any
 	// runner happens to hold.
@@ -80,6 +82,9 @@
 	// suspectedAt is when a crash was last seen or reported, also if the part was answered
 	// since.
 	suspectedAt time.Duration
+	// requests is the largest number of requests that an entry VM had seen which reported a
+	// crash.
+	requests int
 }
 
 // addCrash adds a crash unless the part was answered later. It reports whether it is news.
@@ -215,6 +220,10 @@
 		for _, c := range f.Crashes {
 			news = r.addCrash(c.Runner, now-delay-c.Age, now) || news
 		}
+		if len(f.Crashes) > 0 && f.Requests > r.requests {
+			news = news || r.requests < minRequests
+			r.requests = f.Requests
+		}
 	}
 	if news {
 		l.update(now)
@@ -243,7 +252,7 @@
 	facts := make([]Fact, 0, len(parts))
 	for _, p := range parts {
 		r := l.records[p]
-		f := Fact{Part: p}
+		f := Fact{Part: p, Requests: l.requests(r)}
 		if r.answeredAt > 0 {
 			f.Answered = max(1, now-r.answeredAt)
 		}
@@ -320,7 +329,13 @@
 		}
 		needed = maxCrashes
 	}
-	return n >= max(needed, minCrashesAtOnce) || n >= needed && incidents(crashes) >= minIncidents
+	return n >= needed && incidents(crashes) >= minIncidents || n >= max(needed, minCrashesAtOnce) && l.requests(l.records[part]) >= minRequests
+}
+
+// requests returns the largest number of requests that an entry VM has seen which knows of the
+// crashes in a record.
+func (l *Ledger) requests(r *record) int {
+	return max(r.requests, l.history.requests())
 }
 
 // neededCrashes returns the number of crashes after which a part is excluded that was never
