--- a/internal/run/chiverelay/relay.go
+++ b/internal/run/chiverelay/relay.go
@@ -224,6 +224,7 @@
 // reserveRunner reserves a runner according to the newest view of the fleet. It
 // returns nil if there is none or the request is no longer admitted.
 func (x *exchange) reserveRunner() *chivefleet.Runner {
+	// A request that is turned away here does not wait for a group.
 	x.forming = false
 	if !x.recheckKey() || x.partExcluded() {
 		return nil
