Do not copy the list of runners for each request

The list of open runners is made anew for each reservation, and after the unreachable ones are left out only its former length is used. Behaviour as it was.

--- a/internal/run/chiverelay/relay.go
+++ b/internal/run/chiverelay/relay.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -234,9 +233,10 @@
 		return nil
 	}
 	open := x.openRunners()
-	usable := x.reachable(slices.Clone(open))
+	openCount := len(open)
+	usable := x.reachable(open)
 	runner := x.relay.State.Reserve(usable, x.chooser(), x.reserveOptions())
-	if runner == nil && (x.cause == "" || len(usable) < len(open)) {
+	if runner == nil && (x.cause == "" || len(usable) < openCount) {
 		x.unavailable = len(usable) == 0
 		switch {
 		case x.pauseLeft > 0:
@@ -245,7 +245,7 @@
 			x.cause = "all runners say that they are leaving"
 		case x.groupClosed:
 			x.cause = "the group of ranks is not open"
-		case len(open) > 0 && x.unavailable:
+		case openCount > 0 && x.unavailable:
 			x.cause = "no runner can be reached"
 		case x.unavailable:
 			x.cause = "the service has no runner"
--- a/internal/run/chiverelay/unreachable.go
+++ b/internal/run/chiverelay/unreachable.go
@@ -16,7 +16,7 @@
 }
 
 // reachable returns the runners without those that the request could not reach a moment ago:
-// connecting again at once would only hold the request.
+// connecting again at once would only hold the request. It modifies the given slice.
 func (x *exchange) reachable(runners []*chivefleet.Runner) []*chivefleet.Runner {
 	if len(x.unreachableUntil) == 0 {
 		return runners
