Log the fingerprint of a request whose attempt failed

Whether the requests under which runners end are alike could not be seen in the logs: only the route and the workspace were known. The line of a failed attempt now has a hash of caller, method, host, path, query and body. No decision uses it.

--- a/internal/run/chiverelay/relay.go
+++ b/internal/run/chiverelay/relay.go
@@ -94,17 +94,19 @@
 
 // exchange is the processing of one request of a caller.
 type exchange struct {
-	relay     *Relay
-	w         http.ResponseWriter
-	r         *http.Request
-	start     chiveclock.Moment
-	deadline  chiveclock.Moment
-	request   Request
-	body      []byte
-	fleet     *chivefleet.Fleet
-	route     *chivefleet.Route
-	service   *chivefleet.Service
-	workspace *chivefleet.Workspace
+	relay    *Relay
+	w        http.ResponseWriter
+	r        *http.Request
+	start    chiveclock.Moment
+	deadline chiveclock.Moment
+	request  Request
+	body     []byte
+	// fingerprint is that of the request, set once it is admitted.
+	fingerprint string
+	fleet       *chivefleet.Fleet
+	route       *chivefleet.Route
+	service     *chivefleet.Service
+	workspace   *chivefleet.Workspace
 
 	// tried holds the IDs of the runners that were tried, including those that
 	// could not be reached.
@@ -168,6 +170,7 @@
 // forward sends the request to runners until one responds or no further attempt is
 // allowed.
 func (x *exchange) forward() {
+	x.fingerprint = fingerprint(x.workspaceName(), x.r.Method, x.r.Host, x.r.RequestURI, x.body)
 	x.relay.State.CountRequest(x.service.Name)
 	x.relay.Crashes.CountRequest(x.request.Parts)
 	ctx, cancel := context.WithTimeout(x.r.Context(), chiveclock.Until(x.deadline))
@@ -190,7 +193,7 @@
 		}
 		retry := ctx.Err() == nil && (next != nil || x.mayRetry())
 		x.relay.Log.Info("Attempt failed.", "request", x.request.ID, "runner", runner.ID, "attempt", x.attempts, "cause", x.cause,
-			"ran", x.mayHaveRun, "again", retry, "moved", next != nil, "left", formatMillis(chiveclock.Until(x.deadline)), "event", x.lastEvent, "parts", x.request.Parts)
+			"ran", x.mayHaveRun, "again", retry, "moved", next != nil, "left", formatMillis(chiveclock.Until(x.deadline)), "event", x.lastEvent, "parts", x.request.Parts, "fingerprint", x.fingerprint)
 		if next != nil && (!retry || !x.recheckKey()) {
 			x.relay.State.Release(next.ID)
 			retry = false
