--- a/internal/bench/chiveplatform/crash.go
+++ b/internal/bench/chiveplatform/crash.go
@@ -13,23 +13,37 @@
 const (
 	// restartTime is how long a runner that has crashed is gone.
 	restartTime = 800 * time.Millisecond
-	// crashLimit is the number of crashes after which a part must be known, and
-	// maxRequestsWithPart how many requests with it may reach runners from contactTime
-	// after them on.
-	crashLimit          = 5
-	maxRequestsWithPart = 3
+	// maxCrashesOfPart and maxCrashesOfRequest are the numbers of crashes after which a part
+	// of prompts and a request must be known, and maxLateRequests how many requests with
+	// either may reach runners from contactTime after them on.
+	maxCrashesOfPart    = 5
+	maxCrashesOfRequest = 3
+	maxLateRequests     = 3
 )
 
-// crashLog lets a runner crash when it begins to answer a prompt with a certain part, and
-// records what reached it. The zero value is the log of a runner that no prompt crashes. It
-// is safe for concurrent use.
-type crashLog struct {
-	mu sync.Mutex
-	// part is the ID of the part that crashes the runner, or empty.
+// crashTrigger is what makes a runner crash when it begins to answer a request. The zero
+// value is nothing.
+type crashTrigger struct {
+	// part is the ID of a part of prompts, or empty.
 	part string
+	// body is the body of a request, or empty.
+	body string
+}
+
+// matches reports whether a request with the given parts, as the value of the header, and
+// body makes a runner crash.
+func (c crashTrigger) matches(parts, body string) bool {
+	return c.part != "" && holdsPart(parts, c.part) || c.body != "" && c.body == body
+}
+
+// crashLog lets a runner crash and records the requests to blame that reached it. The zero
+// value is the log of a runner that no request crashes. It is safe for concurrent use.
+type crashLog struct {
+	mu      sync.Mutex
+	trigger crashTrigger
 	// onCrash ends the incarnation of the runner. It reports whether nothing else has.
 	onCrash func() bool
-	// arrivals holds the requests with the part, crashedAt when the runner crashed.
+	// arrivals holds the requests that match the trigger, crashedAt when the runner crashed.
 	arrivals  []arrival
 	crashedAt []time.Time
 }
@@ -37,9 +51,20 @@
 // CrashOnPart makes the runners crash whenever they begin to answer a prompt with the given
 // part. They start again as new incarnations. An empty part ends this.
 func (s *Site) CrashOnPart(part string) {
+	s.crashOn(crashTrigger{part: part})
+}
+
+// CrashOnBody makes the runners crash whenever they begin to answer a request with the given
+// body. They start again as new incarnations.
+func (s *Site) CrashOnBody(body string) {
+	s.crashOn(crashTrigger{body: body})
+}
+
+// crashOn replaces what makes the runners crash.
+func (s *Site) crashOn(t crashTrigger) {
 	for i, r := range s.Runners {
 		r.crashes.mu.Lock()
-		r.crashes.part, r.crashes.onCrash = part, func() bool { return s.restartRunner(i) }
+		r.crashes.trigger, r.crashes.onCrash = t, func() bool { return s.restartRunner(i) }
 		r.crashes.mu.Unlock()
 	}
 }
@@ -68,20 +93,15 @@
 	return false
 }
 
-// arrive records a request with the part that crashes the runner.
-func (c *crashLog) arrive(id, parts string) {
+// arrive records a request if it matches the trigger, and reports whether it does.
+func (c *crashLog) arrive(id, parts, body string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.part != "" && holdsPart(parts, c.part) {
-		c.arrivals = append(c.arrivals, arrival{id: id, at: time.Now()})
+	if !c.trigger.matches(parts, body) {
+		return false
 	}
-}
-
-// begin reports whether an answer to a prompt crashes the runner.
-func (c *crashLog) begin(parts string) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.part != "" && holdsPart(parts, c.part)
+	c.arrivals = append(c.arrivals, arrival{id: id, at: time.Now()})
+	return true
 }
 
 // crash ends the incarnation of the runner.
@@ -93,8 +113,8 @@
 	}
 }
 
-// crashTimes returns the requests with the part that reached the runners and the times of
-// their crashes, in order.
+// crashTimes returns the requests to blame that reached the runners and the times of their
+// crashes, in order.
 func (s *Site) crashTimes() (arrivals []arrival, crashes []time.Time) {
 	for _, r := range s.Runners {
 		r.crashes.mu.Lock()
@@ -106,9 +126,9 @@
 	return arrivals, crashes
 }
 
-// lateRequests counts the requests with the part that reached runners later than contactTime
-// after the fifth crash and that counted accepts.
-func (s *Site) lateRequests(counted func(arrival) bool) (late int) {
+// lateRequests counts the requests to blame that reached runners later than contactTime after
+// the given number of crashes and that counted accepts.
+func (s *Site) lateRequests(crashLimit int, counted func(arrival) bool) (late int) {
 	arrivals, crashes := s.crashTimes()
 	if len(crashes) < crashLimit {
 		return 0
--- a/internal/bench/chiveplatform/runner.go
+++ b/internal/bench/chiveplatform/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -114,7 +115,11 @@
 	}
 	id := q.Header.Get("Chiveyoke-Attempt-Id")
 	w.Header().Set("Chiveyoke-Instance-Id", r.ID)
-	r.crashes.arrive(id, q.Header.Get(headerPromptParts))
+	body, err := io.ReadAll(q.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	crashes := r.crashes.arrive(id, q.Header.Get(headerPromptParts), string(body))
 	if pause := r.notices.arrive(id, w.Header()); pause > 0 {
 		w.Header().Set("Chiveyoke-Not-Executed", "1")
 		w.Header().Set("Retry-After", strconv.FormatFloat(pause.Seconds(), 'f', 2, 64))
@@ -130,7 +135,7 @@
 	defer r.end()
 	w.Header().Set("Chiveyoke-Attempt-Id", id)
 	w.Header().Set("Chiveyoke-Response-Seal", "seal-"+id)
-	if r.crashes.begin(q.Header.Get(headerPromptParts)) {
+	if crashes {
 		// The caller may have the head of the answer, as from a real crash.
 		_ = http.NewResponseController(w).Flush()
 		r.crashes.crash()
--- a/internal/bench/chiveplatform/site.go
+++ b/internal/bench/chiveplatform/site.go
@@ -408,24 +408,36 @@
 	Complete bool
 }
 
+// CallerRequest is a request of a caller.
+type CallerRequest struct {
+	// Route is the name of the route, and Path what follows it in the path.
+	Route, Path string
+	ID          string
+	// Key is the API key.
+	Key  string
+	Body string
+	// Parts holds the parts of the prompt as "ID:TOKENS,...", or is empty.
+	Parts string
+}
+
 // Send sends a request to the route named route at an address, with a request ID and
 // an API key.
 func Send(ctx context.Context, client *http.Client, addr, route, id, key string) Answer {
-	return SendPrompt(ctx, client, addr, route, id, key, "")
+	return SendRequest(ctx, client, addr, CallerRequest{Route: route, Path: "x", ID: id, Key: key, Body: "body of " + id})
 }
 
-// SendPrompt sends a request as Send does, with the parts of a prompt as "ID:TOKENS,...".
-func SendPrompt(ctx context.Context, client *http.Client, addr, route, id, key, parts string) Answer {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/"+route+"/x", strings.NewReader("body of "+id))
+// SendRequest sends a request to an address and reads its answer.
+func SendRequest(ctx context.Context, client *http.Client, addr string, r CallerRequest) Answer {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/"+r.Route+"/"+r.Path, strings.NewReader(r.Body))
 	if err != nil {
 		return Answer{}
 	}
 	req.Host = "site.example"
-	req.Header.Set("Chiveyoke-Attempt-Id", id)
+	req.Header.Set("Chiveyoke-Attempt-Id", r.ID)
 	req.Header.Set("Chiveyoke-Deadline-Ms", "4000")
-	req.Header.Set("Authorization", "Token "+key)
-	if parts != "" {
-		req.Header.Set(headerPromptParts, parts)
+	req.Header.Set("Authorization", "Token "+r.Key)
+	if r.Parts != "" {
+		req.Header.Set(headerPromptParts, r.Parts)
 	}
 	resp, err := client.Do(req)
 	if err != nil {
--- a/internal/bench/chiveplatform/site_test.go
+++ b/internal/bench/chiveplatform/site_test.go
@@ -227,13 +227,16 @@
 	s := startSite(t, 4, 1, 2)
 	e, ctx := s.EntryVMs[0], context.WithoutCancel(t.Context())
 	s.CrashOnPart("bad")
-	for i := 0; i < 40; i++ {
-		if a := SendPrompt(ctx, &http.Client{}, e.CallerAddress(), "stream", fmt.Sprint("crash-", i), "k1", "bad:60,own:20"); strings.Contains(a.Body, "crashes") {
+	prompt := func(id, parts string) Answer {
+		return SendRequest(ctx, &http.Client{}, e.CallerAddress(), CallerRequest{Route: "stream", Path: "x", ID: id, Key: "k1", Body: "body of " + id, Parts: parts})
+	}
+	for i := range 40 {
+		if a := prompt(fmt.Sprint("crash-", i), "bad:60,own:20"); strings.Contains(a.Body, "crashes") {
 			break
 		}
 		time.Sleep(200 * time.Millisecond)
 	}
-	SendPrompt(ctx, &http.Client{}, e.CallerAddress(), "stream", "excluded", "k1", "aa:40,bad:60,own:20")
+	prompt("excluded", "aa:40,bad:60,own:20")
 	s.CrashOnPart("")
 	time.Sleep(2 * restartTime)
 	for _, r := range s.Runners {
--- a/internal/bench/chiveplatform/trouble.go
+++ b/internal/bench/chiveplatform/trouble.go
@@ -133,19 +133,19 @@
 	for n := 0; sleep(ctx, time.Duration(50+rng.IntN(400))*time.Millisecond); n++ {
 		e, id := p.site.EntryVMs[rng.IntN(len(p.site.EntryVMs))], fmt.Sprint("bad-", n)
 		p.recordSending(id, e.Name)
-		parts := fmt.Sprintf("aa:40,bad:60,own-%d:20", n)
-		senders.Go(func() { SendPrompt(ctx, client, e.CallerAddress(), "stream", id, "key", parts) })
+		r := CallerRequest{Route: "stream", Path: "x", ID: id, Key: "key", Body: "body of " + id, Parts: fmt.Sprintf("aa:40,bad:60,own-%d:20", n)}
+		senders.Go(func() { SendRequest(ctx, client, e.CallerAddress(), r) })
 	}
 }
 
 // checkCrashes checks how many requests with the part that crashes runners reached them from
 // entry VMs without a fault.
 func (p *soakRun) checkCrashes() {
-	late := p.site.lateRequests(func(a arrival) bool {
+	late := p.site.lateRequests(maxCrashesOfPart, func(a arrival) bool {
 		entry := p.sent[a.id].entry
 		return !p.site.history.hadFault(entry, a.at.Add(-2*contactTime), a.at)
 	})
-	if late > maxRequestsWithPart {
+	if late > maxLateRequests {
 		p.addViolation("%d requests with a part that crashes runners reached them later than %v after the fifth crash", late, contactTime)
 	}
 }
