Keep requests from the runners that crash under them, also without parts of a prompt

Cause: the ledger of crashes followed parts of prompts only. A call has none, so that nothing remembered it, and its exchange sent it to the next runner at once.

An exchange is not sent on once two runners have broken it off and are not known to go on.

--- a/internal/bench/chiveplatform/site_test.go
+++ b/internal/bench/chiveplatform/site_test.go
@@ -221,7 +221,7 @@
 }
 
 // TestExplain checks that the explain command finds the causes of failures in the logs: a part
-// that crashes runners, an aborted stream, a lost answer, an answer without an end, runners that ask for a pause or
+// and a request that crash runners, an aborted stream, a lost answer, an answer without an end, runners that ask for a pause or
 // leave, and keys that are out of date.
 func TestExplain(t *testing.T) {
 	s := startSite(t, 4, 1, 2)
@@ -237,7 +237,18 @@
 		time.Sleep(200 * time.Millisecond)
 	}
 	prompt("excluded", "aa:40,bad:60,own:20")
-	s.CrashOnPart("")
+	s.CrashOnBody("bad")
+	repeat := func(id string) Answer {
+		return SendRequest(ctx, &http.Client{}, e.CallerAddress(), CallerRequest{Route: "any", Path: "x", ID: id, Key: "k1", Body: "bad"})
+	}
+	for i := range 40 {
+		if a := repeat(fmt.Sprint("repeat-", i)); strings.Contains(a.Body, "crashes") {
+			break
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	repeat("repeated")
+	s.CrashOnBody("")
 	time.Sleep(2 * restartTime)
 	for _, r := range s.Runners {
 		r.SetFailureRate(1)
@@ -272,6 +283,7 @@
 		want []string
 	}{
 		{"excluded", []string{"not-run", "part bad of the prompt crashes runners", "503"}},
+		{"repeated", []string{"not-run", "the request crashes runners", "503"}},
 		{"torn", []string{"broke off its stream after event", "stream broke"}},
 		{"lost", []string{"may-have-run", "broke off", "502"}},
 		{"endless", []string{"may-have-run", "may have no end", "502"}},
--- a/internal/policy/chivesuspect/history.go
+++ b/internal/policy/chivesuspect/history.go
@@ -4,13 +4,13 @@
 
 const (
 	// historySpan is the least time for which requests are remembered, unless there are
-	// more than maxHistoryParts parts.
-	historySpan     = 10 * time.Minute
-	maxHistoryParts = 4096
+	// more than maxHistorySuspects suspects.
+	historySpan        = 10 * time.Minute
+	maxHistorySuspects = 4096
 )
 
-// history counts the requests with each part and remembers when one was last answered. It
-// keeps two generations, so that its size is bounded. The zero value is empty.
+// history counts the requests with each suspect of a kind and remembers when one was last
+// answered. It keeps two generations, so that its size is bounded. The zero value is empty.
 type history struct {
 	current, previous generation
 	// rotatedAt is when the current generation began.
@@ -22,69 +22,75 @@
 	// requests is the number of requests, breaks that of those that broke off unanswered at
 	// runners which crashed.
 	requests, breaks int
-	parts            map[string]usage
+	suspects         map[string]usage
 }
 
-// usage is what is remembered of a part in one generation.
+// usage is what is remembered of a suspect in one generation.
 type usage struct {
-	// requests and breaks are those of the requests with the part.
+	// requests and breaks are those of the requests with the suspect.
 	requests, breaks int
 	// answeredAt is when a request was last answered, 0 if none was.
 	answeredAt time.Duration
 }
 
-// addRequest counts a request with the given parts.
-func (h *history) addRequest(parts []string, now time.Duration) {
+// addRequest counts a request with the given suspects. One without any does not count.
+func (h *history) addRequest(ids []string, now time.Duration) {
+	if len(ids) == 0 {
+		return
+	}
 	h.rotate(now)
 	h.current.requests++
-	for _, p := range parts {
-		u := h.current.parts[p]
+	for _, id := range ids {
+		u := h.current.suspects[id]
 		u.requests++
-		h.current.parts[p] = u
+		h.current.suspects[id] = u
 	}
 }
 
-// addAnswer records that a request with the given parts was answered.
-func (h *history) addAnswer(parts []string, now time.Duration) {
+// addAnswer records that a request with the given suspects was answered.
+func (h *history) addAnswer(ids []string, now time.Duration) {
+	if len(ids) == 0 {
+		return
+	}
 	h.rotate(now)
-	for _, p := range parts {
-		u := h.current.parts[p]
+	for _, id := range ids {
+		u := h.current.suspects[id]
 		u.answeredAt = now
-		h.current.parts[p] = u
+		h.current.suspects[id] = u
 	}
 }
 
 // addBreaks counts requests that broke off unanswered at a runner which crashed, given the
-// number of those with each part.
-func (h *history) addBreaks(requests int, parts map[string]int, now time.Duration) {
+// number of those with each suspect.
+func (h *history) addBreaks(requests int, counts map[string]int, now time.Duration) {
 	h.rotate(now)
 	h.current.breaks += requests
-	for p, n := range parts {
-		u := h.current.parts[p]
+	for id, n := range counts {
+		u := h.current.suspects[id]
 		u.breaks += n
-		h.current.parts[p] = u
+		h.current.suspects[id] = u
 	}
 }
 
-// breakRate returns the fraction of the remembered requests without the part that broke off
-// unanswered at runners which crashed.
-func (h *history) breakRate(part string) float64 {
+// breakRate returns the fraction of the remembered requests without the suspect that broke
+// off unanswered at runners which crashed.
+func (h *history) breakRate(id string) float64 {
 	var requests, breaks int
 	for _, g := range []generation{h.current, h.previous} {
-		requests += g.requests - g.parts[part].requests
-		breaks += g.breaks - g.parts[part].breaks
+		requests += g.requests - g.suspects[id].requests
+		breaks += g.breaks - g.suspects[id].breaks
 	}
 	return float64(breaks) / float64(requests+priorRequests)
 }
 
-// answeredAt returns when a request with the part was last answered, or 0.
-func (h *history) answeredAt(part string) time.Duration {
-	return max(h.current.parts[part].answeredAt, h.previous.parts[part].answeredAt)
+// answeredAt returns when a request with the suspect was last answered, or 0.
+func (h *history) answeredAt(id string) time.Duration {
+	return max(h.current.suspects[id].answeredAt, h.previous.suspects[id].answeredAt)
 }
 
-// share returns the fraction of the remembered requests that had the part.
-func (h *history) share(part string) float64 {
-	with := h.current.parts[part].requests + h.previous.parts[part].requests
+// share returns the fraction of the remembered requests that had the suspect.
+func (h *history) share(id string) float64 {
+	with := h.current.suspects[id].requests + h.previous.suspects[id].requests
 	return float64(with) / float64(max(h.requests(), 1))
 }
 
@@ -95,8 +101,8 @@
 
 // rotate begins a new generation if the current one is too old or too large.
 func (h *history) rotate(now time.Duration) {
-	if h.current.parts != nil && now-h.rotatedAt < historySpan && len(h.current.parts) < maxHistoryParts {
+	if h.current.suspects != nil && now-h.rotatedAt < historySpan && len(h.current.suspects) < maxHistorySuspects {
 		return
 	}
-	h.previous, h.current, h.rotatedAt = h.current, generation{parts: map[string]usage{}}, now
+	h.previous, h.current, h.rotatedAt = h.current, generation{suspects: map[string]usage{}}, now
 }
--- a/internal/policy/chivesuspect/model_test.go
+++ b/internal/policy/chivesuspect/model_test.go
@@ -4,18 +4,19 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 )
 
 // blamer is a rule by which entry VMs keep requests from runners.
 type blamer interface {
-	AddRequest(parts []string, now time.Duration)
-	AddAnswer(parts []string, now time.Duration)
-	AddBreak(runner string, parts []string, now time.Duration) bool
+	AddRequest(s Suspects, now time.Duration)
+	AddAnswer(s Suspects, now time.Duration)
+	AddBreak(runner string, s Suspects, now time.Duration) bool
 	AddEnd(runner string, now time.Duration) bool
 	Merge(facts []Fact, delay, now time.Duration)
 	Facts(now time.Duration) []Fact
-	Excluded(parts []string, now time.Duration) (string, time.Duration)
+	Excluded(s Suspects, now time.Duration) (Suspect, time.Duration)
 }
 
 // loner is the naive blamer that knows only what its own entry VM has seen.
@@ -23,26 +24,60 @@
 
 func (*loner) Merge([]Fact, time.Duration, time.Duration) {}
 
-// avenger is the naive blamer that blames every part of the requests that break off.
+// avenger is the naive blamer that blames every suspect of the requests that break off.
 type avenger struct {
 	Ledger
-	blamed map[string]bool
+	blamed map[Suspect]bool
 }
 
-func (a *avenger) AddBreak(runner string, parts []string, now time.Duration) bool {
-	for _, p := range parts {
-		a.blamed[p] = true
+func newAvenger() blamer { return &avenger{blamed: map[Suspect]bool{}} }
+
+func (a *avenger) AddBreak(runner string, s Suspects, now time.Duration) bool {
+	for suspect := range s.all() {
+		a.blamed[suspect] = true
 	}
-	return a.Ledger.AddBreak(runner, parts, now)
+	return a.Ledger.AddBreak(runner, s, now)
 }
 
-func (a *avenger) Excluded(parts []string, _ time.Duration) (string, time.Duration) {
-	for _, p := range parts {
-		if a.blamed[p] {
-			return p, exclusionTime
+func (a *avenger) Excluded(s Suspects, _ time.Duration) (Suspect, time.Duration) {
+	for suspect := range s.all() {
+		if a.blamed[suspect] {
+			return suspect, exclusionTime
 		}
 	}
-	return "", 0
+	return Suspect{}, 0
+}
+
+// partsOnly is the naive blamer that does not follow requests.
+type partsOnly struct{ Ledger }
+
+func (p *partsOnly) AddBreak(runner string, s Suspects, now time.Duration) bool {
+	return p.Ledger.AddBreak(runner, Suspects{Part: s[Part]}, now)
+}
+
+// callerless is the naive blamer to which requests of different callers are alike.
+type callerless struct{ Ledger }
+
+// strip leaves the caller out of the names of requests.
+func (*callerless) strip(s Suspects) Suspects {
+	var requests []string
+	for _, id := range s[Request] {
+		_, id, _ = strings.Cut(id, "/")
+		requests = append(requests, id)
+	}
+	return Suspects{Part: s[Part], Request: requests}
+}
+
+func (c *callerless) AddRequest(s Suspects, now time.Duration) { c.Ledger.AddRequest(c.strip(s), now) }
+
+func (c *callerless) AddAnswer(s Suspects, now time.Duration) { c.Ledger.AddAnswer(c.strip(s), now) }
+
+func (c *callerless) AddBreak(runner string, s Suspects, now time.Duration) bool {
+	return c.Ledger.AddBreak(runner, c.strip(s), now)
+}
+
+func (c *callerless) Excluded(s Suspects, now time.Duration) (Suspect, time.Duration) {
+	return c.Ledger.Excluded(c.strip(s), now)
 }
 
 // The load of the model: a fleet of model runners as a group of ranks or each by itself.
@@ -54,35 +89,44 @@
 	// formTime that until a group is whole again after a crash.
 	prefillTime, restartTime, formTime = 250 * time.Millisecond, 1300 * time.Millisecond, 4200 * time.Millisecond
 	reportPeriod, reportDelay          = 250 * time.Millisecond, 500 * time.Millisecond
-	// contactTime is the time after the fifth crash from which at most three requests with
-	// the part may reach runners.
+	// contactTime is the time after the last crash that may happen from which at most three
+	// bad requests may reach runners.
 	contactTime = 3 * time.Second
 )
 
 // fleetModel simulates runners, requests and reports in steps of a millisecond.
 type fleetModel struct {
-	rng     *rand.Rand
-	blamers []blamer
-	grouped bool
+	rng *rand.Rand
+	// drawBad draws the suspects of a request that crashes its runner. plainShare is the
+	// fraction of sound requests without parts.
+	drawBad    func(m *fleetModel) Suspects
+	plainShare float64
+	blamers    []blamer
+	grouped    bool
 	// downUntil is the time until which runners take no requests, incarnation their number
 	// of restarts.
 	downUntil   [modelRunners]time.Duration
 	incarnation [modelRunners]int
 	waiting     []modelRequest
 	reports     []modelReport
+	// drawn counts the sound requests that were drawn.
+	drawn int
 
-	// crashes and badCrashes hold when runners crashed, for any reason and under the part.
+	// crashes and badCrashes hold when runners crashed, for any reason and under a bad request.
 	crashes, badCrashes []time.Duration
 	badSent             []time.Duration
-	answered            map[string]int
-	refused             map[string]int
+	// answered and refused count requests by whether they are bad, and refusedOf the sound
+	// ones that were refused by caller.
+	answered, refused map[bool]int
+	refusedOf         map[string]int
 }
 
 // modelRequest is a request at a runner whose answer has not begun.
 type modelRequest struct {
 	entry, runner int
 	beginsAt      time.Duration
-	parts         []string
+	suspects      Suspects
+	bad           bool
 }
 
 // modelReport is a report on its way to all other entry VMs.
@@ -93,31 +137,23 @@
 }
 
 func newFleetModel(seed uint64, grouped bool, create func() blamer) *fleetModel {
-	m := &fleetModel{rng: rand.New(rand.NewPCG(seed, 3)), grouped: grouped, answered: map[string]int{}, refused: map[string]int{}}
+	m := &fleetModel{rng: rand.New(rand.NewPCG(seed, 3)), drawBad: drawBadPart, grouped: grouped, answered: map[bool]int{}, refused: map[bool]int{}, refusedOf: map[string]int{}}
 	for range modelEntries {
 		m.blamers = append(m.blamers, create())
 	}
 	return m
 }
 
-// kind names a request in the counts.
-func kind(parts []string) string {
-	if slices.Contains(parts, "bad") {
-		return "bad"
-	}
-	return "sound"
-}
-
-// run simulates the time until end. bad reports whether requests with the part come at a
-// time, and crashAt whether some runner crashes at a time for another reason.
+// run simulates the time until end. bad reports whether bad requests come at a time, and
+// crashAt whether some runner crashes at a time for another reason.
 func (m *fleetModel) run(end time.Duration, bad, crashAt func(time.Duration) bool) {
 	for now := time.Second; now < time.Second+end; now += time.Millisecond {
 		at := now - time.Second
 		if m.rng.Float64() < float64(time.Millisecond)/float64(soundSpacing) {
-			m.send(now, m.soundParts())
+			m.send(now, m.drawSound(), false)
 		}
 		if bad(at) && m.rng.Float64() < float64(time.Millisecond)/float64(badSpacing) {
-			m.send(now, append(m.soundParts(), "bad"))
+			m.send(now, m.drawBad(m), true)
 		}
 		if crashAt(at) {
 			m.crash(now, m.rng.IntN(modelRunners))
@@ -127,27 +163,58 @@
 	}
 }
 
-// soundParts draws the parts of a sound prompt: one of its route, one of its subject.
-func (m *fleetModel) soundParts() []string {
-	subject := int(400 * m.rng.Float64() * m.rng.Float64())
-	return []string{fmt.Sprint("route-", m.rng.IntN(3)), fmt.Sprint("subject-", subject)}
+// drawSound draws a sound request of some caller: with the parts of its route and of its
+// subject, or without parts. Many of those without come again.
+func (m *fleetModel) drawSound() Suspects {
+	m.drawn++
+	request := fmt.Sprintf("caller-%d/%d", m.rng.IntN(4), m.drawn)
+	if m.rng.Float64() >= m.plainShare {
+		subject := int(400 * m.rng.Float64() * m.rng.Float64())
+		return Suspects{Part: {fmt.Sprint("route-", m.rng.IntN(3)), fmt.Sprint("subject-", subject)}, Request: {request}}
+	}
+	if m.rng.IntN(2) == 0 {
+		request = fmt.Sprintf("caller-%d/list-%d", m.rng.IntN(4), m.rng.IntN(20))
+	}
+	return Suspects{Request: {request}}
 }
 
-func (m *fleetModel) send(now time.Duration, parts []string) {
+// drawBadPart draws a request with the part that crashes runners. Each differs.
+func drawBadPart(m *fleetModel) Suspects {
+	s := m.drawSound()
+	return Suspects{Part: append(slices.Clone(s[Part]), "bad"), Request: s[Request]}
+}
+
+// drawBadRequest draws the one request that crashes runners, which is alike to that of other
+// callers.
+func drawBadRequest(*fleetModel) Suspects {
+	return Suspects{Request: {"caller-0/list-bad"}}
+}
+
+// drawBadPrompt draws the one request that crashes runners, which has parts that others have
+// too.
+func drawBadPrompt(*fleetModel) Suspects {
+	return Suspects{Part: {"route-0", "subject-0"}, Request: {"caller-0/prompt"}}
+}
+
+func (m *fleetModel) send(now time.Duration, s Suspects, bad bool) {
 	entry, runner := m.rng.IntN(modelEntries), m.rng.IntN(modelRunners)
 	b := m.blamers[entry]
-	b.AddRequest(parts, now)
-	if part, _ := b.Excluded(parts, now); part != "" {
-		m.refused[kind(parts)]++
+	b.AddRequest(s, now)
+	if _, left := b.Excluded(s, now); left > 0 {
+		m.refused[bad]++
+		if caller, _, _ := strings.Cut(s[Request][0], "/"); !bad {
+			m.refusedOf[caller]++
+		}
 		return
 	}
 	if now < m.downUntil[runner] {
 		return
 	}
-	if kind(parts) == "bad" {
+	if bad {
 		m.badSent = append(m.badSent, now)
 	}
-	m.waiting = append(m.waiting, modelRequest{entry, runner, now + prefillTime/2 + time.Duration(m.rng.Int64N(int64(prefillTime))), parts})
+	beginsAt := now + prefillTime/2 + time.Duration(m.rng.Int64N(int64(prefillTime)))
+	m.waiting = append(m.waiting, modelRequest{entry, runner, beginsAt, s, bad})
 }
 
 // begin lets answers begin.
@@ -157,14 +224,14 @@
 		if now < q.beginsAt {
 			continue
 		}
-		if kind(q.parts) == "bad" {
+		if q.bad {
 			m.badCrashes = append(m.badCrashes, now)
 			m.crash(now, q.runner)
 			i = -1
 			continue
 		}
-		m.answered["sound"]++
-		m.blamers[q.entry].AddAnswer(q.parts, now)
+		m.answered[false]++
+		m.blamers[q.entry].AddAnswer(q.suspects, now)
 		m.waiting = slices.Delete(m.waiting, i, i+1)
 		i--
 	}
@@ -180,7 +247,7 @@
 	m.incarnation[runner]++
 	for _, q := range m.waiting {
 		if q.runner == runner {
-			m.blamers[q.entry].AddBreak(name, q.parts, now)
+			m.blamers[q.entry].AddBreak(name, q.suspects, now)
 		}
 	}
 	for _, b := range m.blamers {
@@ -217,14 +284,14 @@
 	})
 }
 
-// lateBad returns how many requests with the part reached runners later than contactTime
-// after the fifth crash.
-func (m *fleetModel) lateBad() (n int) {
-	if len(m.badCrashes) < 5 {
+// lateBad returns how many bad requests reached runners later than contactTime after the given
+// number of crashes.
+func (m *fleetModel) lateBad(crashes int) (n int) {
+	if len(m.badCrashes) < crashes {
 		return 0
 	}
 	for _, at := range m.badSent {
-		if at > m.badCrashes[4]+contactTime {
+		if at > m.badCrashes[crashes-1]+contactTime {
 			n++
 		}
 	}
--- a/internal/run/chiveentry/daemon.go
+++ b/internal/run/chiveentry/daemon.go
@@ -306,18 +306,6 @@
 	d.relay.Rates.SetSenders(d.settings.Entry.Name, senders)
 }
 
-// logExclusions logs the parts of prompts that are kept from runners since the last call,
-// and those that no longer are.
-func (d *Daemon) logExclusions() {
-	began, ended := d.relay.Crashes.ExclusionChanges()
-	for part, crashes := range began {
-		d.relay.Log.Warn("Part of prompts is kept from runners that crash under it.", "part", part, "crashes", crashes)
-	}
-	for _, part := range ended {
-		d.relay.Log.Info("Part of prompts is no longer kept from runners.", "part", part)
-	}
-}
-
 // waitAndDrain waits until the context ends and then shuts the entry VM down. It
 // removes this entry VM from directory responses, accepts requests while callers may
 // still use cached responses, waits for the running requests, and removes the row of
--- a/internal/run/chiveentry/metrics.go
+++ b/internal/run/chiveentry/metrics.go
@@ -6,6 +6,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/chiveyoke/chiveyoke/internal/policy/chivesuspect"
 	"github.com/chiveyoke/chiveyoke/internal/run/chiverelay"
 	"github.com/chiveyoke/chiveyoke/internal/state/chiveclock"
 )
@@ -56,7 +57,8 @@
 	s.Gauge("runners_said_leaving").Update(float64(leaving))
 	s.Gauge("runners_paused").Update(float64(paused))
 	s.Gauge("runners_capped").Update(float64(d.relay.Rates.Count()))
-	s.Gauge("parts_excluded").Update(float64(d.relay.Crashes.ExcludedCount()))
+	s.Gauge("parts_excluded").Update(float64(d.relay.Crashes.ExcludedCount(chivesuspect.Part)))
+	s.Gauge("requests_excluded").Update(float64(d.relay.Crashes.ExcludedCount(chivesuspect.Request)))
 	s.Gauge("requests_busy").Update(float64(busy))
 	s.Gauge("peers_alive").Update(float64(len(d.mesh.Peers())))
 	s.Gauge("zones_evacuated").Update(float64(len(f.EvacuatedZones)))
--- a/internal/run/chivemesh/facts_test.go
+++ b/internal/run/chivemesh/facts_test.go
@@ -15,7 +15,10 @@
 // TestFactsReachAll guards against crashes that only some entry VMs know of: one in another
 // zone, one that starts later, or all others once the only witness has ended.
 func TestFactsReachAll(t *testing.T) {
-	for seed := range uint64(8) {
+	for seed := range uint64(16) {
+		kind := []chivesuspect.Kind{chivesuspect.Part, chivesuspect.Request}[seed/8]
+		var bad chivesuspect.Suspects
+		bad[kind] = []string{"bad"}
 		synctest.Test(t, func(t *testing.T) {
 			n := newNetwork(t, 3, 4, seed)
 			n.lossRate = 0.02 * float64(seed%3)
@@ -32,13 +35,13 @@
 			n.stopped[late] = true
 			n.run(3 * time.Second)
 			for _, runner := range []string{"r1", "r2", "r3"} {
-				ledgers[witness].AddBreak(runner, []string{"bad"}, moment())
+				ledgers[witness].AddBreak(runner, bad, moment())
 				ledgers[witness].AddEnd(runner, moment())
 				n.run(spreadBound)
 			}
 			excluded := func(name string) bool {
-				part, _ := ledgers[name].Excluded([]string{"bad"}, moment())
-				return part != ""
+				first, _ := ledgers[name].Excluded(bad, moment())
+				return first.ID == "bad"
 			}
 			for name := range ledgers {
 				if name != late && !excluded(name) {
--- a/internal/run/chiverelay/attempt.go
+++ b/internal/run/chiverelay/attempt.go
@@ -185,7 +185,7 @@
 	}
 	if ok {
 		x.cause = ""
-		x.relay.Crashes.noteAnswer(x.request.Parts)
+		x.relay.Crashes.noteAnswer(x.suspects())
 	}
 	return responseDelivered
 }
@@ -212,7 +212,7 @@
 	for count := 1; ; count++ {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) || count == provenEvents && err == nil {
-			x.relay.Crashes.noteAnswer(x.request.Parts)
+			x.relay.Crashes.noteAnswer(x.suspects())
 		}
 		if errors.Is(err, io.EOF) {
 			x.finishStream(resp)
--- a/internal/run/chiverelay/crash_guard.go
+++ b/internal/run/chiverelay/crash_guard.go
@@ -24,8 +24,8 @@
 	probeTimeout = 500 * time.Millisecond
 )
 
-// CrashGuard keeps requests from runners whose prompts have a part under which runner after
-// runner has crashed. The zero value has seen no crash. It is safe for concurrent use.
+// CrashGuard keeps requests from runners under which, or under a part of whose prompts, runner
+// after runner has crashed. The zero value has seen no crash. It is safe for concurrent use.
 type CrashGuard struct {
 	// OnCrash is called when a crash was seen that other entry VMs should learn of. It may
 	// be nil.
@@ -35,8 +35,8 @@
 	ledger chivesuspect.Ledger
 	// probing holds the runners that are being probed.
 	probing map[chivefleet.Incarnation]bool
-	// reported holds the excluded parts that ExclusionChanges has returned.
-	reported map[string]int
+	// reported holds the excluded suspects that ExclusionChanges has returned.
+	reported map[chivesuspect.Suspect]int
 }
 
 // moment returns the present as the ledger counts it.
@@ -49,42 +49,41 @@
 	return fmt.Sprintf("%s@%d", i.ID, i.StartedAtMillis)
 }
 
-// CountRequest counts a request whose prompt has the given parts.
-func (g *CrashGuard) CountRequest(parts []string) {
-	if len(parts) == 0 {
-		return
-	}
+// countRequest counts a request with the given suspects.
+func (g *CrashGuard) countRequest(s chivesuspect.Suspects) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.ledger.AddRequest(parts, moment())
+	g.ledger.AddRequest(s, moment())
 }
 
-// Excluded returns the first of the parts whose requests are kept from runners and for how
-// long, or an empty string if there is none.
-func (g *CrashGuard) Excluded(parts []string) (string, time.Duration) {
-	if len(parts) == 0 {
-		return "", 0
-	}
+// excluded returns the first of the suspects whose requests are kept from runners and for how
+// long, or 0 if there is none.
+func (g *CrashGuard) excluded(s chivesuspect.Suspects) (chivesuspect.Suspect, time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.ledger.Excluded(s, moment())
+}
+
+// breaks returns the number of runners that have crashed under a suspect, or have broken it
+// off and are not known to go on.
+func (g *CrashGuard) breaks(s chivesuspect.Suspect) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.ledger.Excluded(parts, moment())
+	return g.ledger.Breaks(s)
 }
 
 // noteAnswer records that a runner has answered a request without a crash.
-func (g *CrashGuard) noteAnswer(parts []string) {
-	if len(parts) == 0 {
-		return
-	}
+func (g *CrashGuard) noteAnswer(s chivesuspect.Suspects) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.ledger.AddAnswer(parts, moment())
+	g.ledger.AddAnswer(s, moment())
 }
 
 // noteBreak records that a request broke off unanswered at a runner. It reports whether the
 // runner is to be probed.
-func (g *CrashGuard) noteBreak(i chivefleet.Incarnation, parts []string) (probe bool) {
+func (g *CrashGuard) noteBreak(i chivefleet.Incarnation, s chivesuspect.Suspects) (probe bool) {
 	g.mu.Lock()
-	crashed := g.ledger.AddBreak(runnerName(i), parts, moment())
+	crashed := g.ledger.AddBreak(runnerName(i), s, moment())
 	probe = !crashed && !g.probing[i]
 	if probe {
 		if g.probing == nil {
@@ -168,50 +167,69 @@
 	g.ledger.Merge(facts, delay, moment())
 }
 
-// ExcludedCount returns the number of parts whose requests are kept from runners.
-func (g *CrashGuard) ExcludedCount() int {
+// ExcludedCount returns the number of suspects of a kind whose requests are kept from runners.
+func (g *CrashGuard) ExcludedCount(k chivesuspect.Kind) (n int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return len(g.ledger.ExcludedParts(moment()))
+	for s := range g.ledger.AllExcluded(moment()) {
+		if s.Kind == k {
+			n++
+		}
+	}
+	return n
 }
 
-// ExclusionChanges returns the parts whose requests are kept from runners since the last
+// ExclusionChanges returns the suspects whose requests are kept from runners since the last
 // call, with the number of crashes under each, and those that no longer are.
-func (g *CrashGuard) ExclusionChanges() (began map[string]int, ended []string) {
+func (g *CrashGuard) ExclusionChanges() (began map[chivesuspect.Suspect]int, ended []chivesuspect.Suspect) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := g.ledger.ExcludedParts(moment())
-	for p := range g.reported {
-		if _, ok := now[p]; !ok {
-			ended = append(ended, p)
+	now := g.ledger.AllExcluded(moment())
+	for s := range g.reported {
+		if _, ok := now[s]; !ok {
+			ended = append(ended, s)
 		}
 	}
 	began = maps.Clone(now)
-	maps.DeleteFunc(began, func(p string, _ int) bool { _, ok := g.reported[p]; return ok })
+	maps.DeleteFunc(began, func(s chivesuspect.Suspect, _ int) bool { _, ok := g.reported[s]; return ok })
 	g.reported = now
 	return began, ended
 }
 
-// partExcluded reports whether a part of the request's prompt crashes runners, and sets the
+// suspects returns what may crash the runners that the request reaches.
+func (x *exchange) suspects() chivesuspect.Suspects {
+	return chivesuspect.Suspects{chivesuspect.Part: x.request.Parts, chivesuspect.Request: {x.fingerprint}}
+}
+
+// isExcluded reports whether the request or a part of its prompt crashes runners, and sets the
 // cause if so.
-func (x *exchange) partExcluded() bool {
-	part, left := x.relay.Crashes.Excluded(x.request.Parts)
-	if part == "" {
+func (x *exchange) isExcluded() bool {
+	suspect, left := x.relay.Crashes.excluded(x.suspects())
+	if left == 0 {
 		return false
 	}
 	x.excludedFor = left
-	x.cause = "part " + part + " of the prompt crashes runners"
+	x.cause = "the request crashes runners"
+	if suspect.Kind == chivesuspect.Part {
+		x.cause = "part " + suspect.ID + " of the prompt crashes runners"
+	}
 	return true
 }
 
+// mayCrashNext reports whether the request may crash the next runner too: it broke off
+// unanswered at more than one.
+func (x *exchange) mayCrashNext() bool {
+	return x.relay.Crashes.breaks(chivesuspect.Suspect{ID: x.fingerprint, Kind: chivesuspect.Request}) > 1
+}
+
 // noteBreak records that the request broke off unanswered at a runner, and finds out whether
 // that has crashed. Runners that are leaving end as planned.
 func (x *exchange) noteBreak(ctx context.Context, runner *chivefleet.Runner) {
-	if ctx.Err() != nil || len(x.request.Parts) == 0 || runner.Leaving || x.relay.State.SaysLeaving(runner) {
+	if ctx.Err() != nil || runner.Leaving || x.relay.State.SaysLeaving(runner) {
 		return
 	}
 	guard, pool := &x.relay.Crashes, x.relay.Pool
-	if !guard.noteBreak(runner.Incarnation(), x.request.Parts) {
+	if !guard.noteBreak(runner.Incarnation(), x.suspects()) {
 		return
 	}
 	time.AfterFunc(probeDelay, func() {
--- a/internal/run/chiverelay/crash_guard_test.go
+++ b/internal/run/chiverelay/crash_guard_test.go
@@ -13,7 +13,7 @@
 // prompt crashes them, and against refusals of requests with other parts.
 func TestExcludedPart(t *testing.T) {
 	s := newTestCluster(t, 71, 0)
-	fact := chivesuspect.Fact{Part: "bad"}
+	fact := chivesuspect.Fact{Suspect: chivesuspect.Suspect{ID: "bad"}}
 	for i := range 4 {
 		fact.Crashes = append(fact.Crashes, chivesuspect.Crash{Runner: fmt.Sprint("r", i), Age: time.Duration(i) * 2 * time.Second})
 	}
@@ -45,7 +45,7 @@
 	}
 }
 
-// TestBrokenRequestsAndCrashes checks which ends of runners count as crashes under a part:
+// TestBrokenRequestsAndCrashes checks which ends of runners count as crashes under a request:
 // that of a process which is gone, but neither a broken connection nor a planned stop.
 func TestBrokenRequestsAndCrashes(t *testing.T) {
 	tests := []struct {
@@ -80,13 +80,91 @@
 			}
 			<-done
 			time.Sleep(probeDelay + 100*time.Millisecond)
-			crashes := 0
+			crashes := map[chivesuspect.Kind]int{}
 			for _, f := range s.relay.Crashes.Facts() {
-				crashes += len(f.Crashes)
+				crashes[f.Kind] += len(f.Crashes)
 			}
-			if crashes != tt.crashes {
-				t.Errorf("%s, %s: %d crashes, want %d", tt.give, kind, crashes, tt.crashes)
+			for _, k := range []chivesuspect.Kind{chivesuspect.Part, chivesuspect.Request} {
+				if crashes[k] != tt.crashes {
+					t.Errorf("%s, %s: %d crashes under a %v, want %d", tt.give, kind, crashes[k], k, tt.crashes)
+				}
 			}
 		}
 	}
 }
+
+// TestExcludedRequest guards against a request that reaches runners although it crashes them,
+// and against refusals of others, such as the same one of another workspace.
+func TestExcludedRequest(t *testing.T) {
+	s := newTestCluster(t, 73, 0)
+	exclude := func(workspace, uri, body string) {
+		id := fingerprint(workspace, http.MethodPost, "127.0.0.1", uri, []byte(body))
+		fact := chivesuspect.Fact{Suspect: chivesuspect.Suspect{ID: id, Kind: chivesuspect.Request}}
+		for i := range 5 {
+			fact.Crashes = append(fact.Crashes, chivesuspect.Crash{Runner: fmt.Sprint(workspace, uri, i), Age: time.Duration(i) * 2 * time.Second})
+		}
+		s.relay.Crashes.Merge([]chivesuspect.Fact{fact}, 0)
+	}
+	for _, kind := range []string{"stream", "any", "once"} {
+		exclude("w", "/"+kind+"/bad", "bad")
+		exclude("other", "/"+kind+"/x", "body")
+	}
+	tests := []struct {
+		give, path, body string
+		status           int
+	}{
+		{"the same", "/bad", "bad", http.StatusServiceUnavailable},
+		{"another body", "/bad", "body", http.StatusOK},
+		{"another path", "/x", "bad", http.StatusOK},
+		{"one of another workspace", "/x", "body", http.StatusOK},
+	}
+	for i, tt := range tests {
+		for _, kind := range []string{"stream", "any", "once"} {
+			id := fmt.Sprintf("%s-%d", kind, i)
+			g := s.send(t.Context(), t, "/"+kind+tt.path, id, tt.body)
+			if g.status != tt.status {
+				t.Errorf("%s, %s: status %d, want %d", kind, tt.give, g.status, tt.status)
+			}
+			if ran := s.runs(id) > 0; ran != (tt.status == http.StatusOK) {
+				t.Errorf("%s, %s: ran %t", kind, tt.give, ran)
+			}
+		}
+	}
+}
+
+// TestCrashingRequestIsNotSentOn guards against one exchange that ends as many runners as its
+// route allows attempts.
+func TestCrashingRequestIsNotSentOn(t *testing.T) {
+	for _, kind := range []string{"stream", "any"} {
+		s := newTestCluster(t, 74, 0)
+		for _, r := range s.runners {
+			r.onlyFault = faultCrash
+		}
+		// The second request finds the third runner, which is the only one left.
+		for i, want := range []int{2, 1} {
+			id := fmt.Sprint(kind, i)
+			if g := s.send(t.Context(), t, "/"+kind+"/x", id, "body"); g.status != http.StatusBadGateway {
+				t.Errorf("%s: status %d, want %d", id, g.status, http.StatusBadGateway)
+			}
+			if n := s.runs(id); n != want {
+				t.Errorf("%s: ended %d runners, want %d", id, n, want)
+			}
+			time.Sleep(2 * probeDelay)
+		}
+	}
+}
+
+// TestBrokenRequestIsSentAgain checks that a request which comes again and breaks off each
+// time at a runner that goes on is served by another one.
+func TestBrokenRequestIsSentAgain(t *testing.T) {
+	s := newTestCluster(t, 75, 0)
+	s.runners[0].onlyFault = faultNoResponse
+	for i := range 12 {
+		if g := s.send(t.Context(), t, "/any/x", fmt.Sprint("again-", i), "body"); g.status != http.StatusOK {
+			t.Errorf("request %d: status %d, want %d", i, g.status, http.StatusOK)
+		}
+	}
+	if len(s.runners[0].arrivals) == 0 {
+		t.Error("no request reached the runner that breaks them off, so that the test shows nothing")
+	}
+}
--- a/internal/run/chiverelay/notice.go
+++ b/internal/run/chiverelay/notice.go
@@ -196,7 +196,7 @@
 // mayStillSend reports whether a runner that was chosen a moment ago may still get the
 // request, and sets the cause if not. Connecting may have taken long.
 func (x *exchange) mayStillSend(runner *chivefleet.Runner) bool {
-	if x.partExcluded() {
+	if x.isExcluded() {
 		return false
 	}
 	if x.relay.State.Accepts(runner) {
--- a/internal/run/chiverelay/relay.go
+++ b/internal/run/chiverelay/relay.go
@@ -39,7 +39,7 @@
 	Dialect Dialect
 	State   *RunnerState
 	Pool    *chiverunner.Pool
-	// Crashes keeps prompts that crash runners from them.
+	// Crashes keeps requests that crash runners from them.
 	Crashes CrashGuard
 	// Rates keeps requests within the rates that runners name.
 	Rates RateCaps
@@ -138,7 +138,8 @@
 	// pauseLeft is the time until the first runner takes requests again if the last
 	// reservation failed because all have asked for a pause, else 0.
 	pauseLeft time.Duration
-	// excludedFor is how long a part of the prompt is kept from runners, 0 if it is not.
+	// excludedFor is how long the request or a part of its prompt is kept from runners, 0 if
+	// neither is.
 	excludedFor time.Duration
 	// allLeaving reports whether the last reservation failed because all runners that have
 	// asked for no pause say that they are leaving.
@@ -172,7 +173,7 @@
 func (x *exchange) forward() {
 	x.fingerprint = fingerprint(x.workspaceName(), x.r.Method, x.r.Host, x.r.RequestURI, x.body)
 	x.relay.State.CountRequest(x.service.Name)
-	x.relay.Crashes.CountRequest(x.request.Parts)
+	x.relay.Crashes.countRequest(x.suspects())
 	ctx, cancel := context.WithTimeout(x.r.Context(), chiveclock.Until(x.deadline))
 	defer cancel()
 	var runner *chivefleet.Runner
@@ -228,7 +229,7 @@
 func (x *exchange) reserveRunner() *chivefleet.Runner {
 	// A request that is turned away here does not wait for a group.
 	x.forming = false
-	if !x.recheckKey() || x.partExcluded() {
+	if !x.recheckKey() || x.isExcluded() {
 		return nil
 	}
 	if chiveclock.Until(x.deadline) < minAttemptTime {
@@ -298,7 +299,7 @@
 	if x.attempts == 0 {
 		return true
 	}
-	if x.attempts >= max(1, x.route.MaxAttempts) {
+	if x.attempts >= max(1, x.route.MaxAttempts) || x.mayCrashNext() {
 		return false
 	}
 	x.retryTaken = x.retryTaken || x.relay.State.TakeRetry(x.service.Name)
--- a/internal/run/chiverelay/relay_test.go
+++ b/internal/run/chiverelay/relay_test.go
@@ -98,8 +98,10 @@
 	faultServerError
 	// faultUnsigned sends a response without a signature.
 	faultUnsigned
-	// faultCount is the number of values, including faultNone.
+	// faultCount is the number of values that are drawn, including faultNone.
 	faultCount
+	// faultCrash runs the request and ends the process: its connections and its listener.
+	faultCrash
 )
 
 // runner is a test runner on raw TCP connections that injects faults at random.
@@ -244,6 +246,10 @@
 	}
 	r.countRun(id)
 	time.Sleep(r.delay)
+	if fault == faultCrash {
+		_ = r.listener.Close()
+		return false
+	}
 	if strings.HasPrefix(q.URL.Path, "/stream/") {
 		return r.stream(c, q, fault)
 	}
