--- a/internal/bench/chiveplatform/soak.go
+++ b/internal/bench/chiveplatform/soak.go
@@ -48,7 +48,8 @@
 	// beside the other faults.
 	Silences bool
 	// Troubles lets runners leave, ask for pauses, name limits, answer without an end and crash
-	// under a part of prompts, and entry VMs stop in series, beside the other faults.
+	// under a part of prompts or a request, and entry VMs stop in series, beside the other
+	// faults.
 	Troubles bool
 	// EntryVMs and Runners are the numbers of entry VMs and of runners.
 	EntryVMs int
--- a/internal/bench/chiveplatform/trouble.go
+++ b/internal/bench/chiveplatform/trouble.go
@@ -116,16 +116,22 @@
 	p.leaving = append(p.leaving, leavingAnswer{entry: entry, runner: a.Header.Get("Chiveyoke-Instance-Id"), incarnation: incarnation, at: time.Now()})
 }
 
-// crashRunners sends prompts with a part that crashes runners to random entry VMs, until the
-// context ends.
+// crashRunners sends prompts with a part that crashes runners, or calls with a body that does,
+// to random entry VMs, until the context ends.
 func (p *soakRun) crashRunners(ctx context.Context) {
 	rng := rand.New(rand.NewPCG(p.Seed, 7))
 	if !sleep(ctx, time.Duration(rng.IntN(3000))*time.Millisecond) {
 		return
 	}
-	p.countFault("part crashes runners")
-	p.site.CrashOnPart("bad")
-	defer p.site.CrashOnPart("")
+	bad := CallerRequest{Route: []string{"any", "once"}[rng.IntN(2)], Path: "x", Key: "key", Body: "bad"}
+	fault, trigger := "request crashes runners", crashTrigger{body: bad.Body}
+	if p.crashesOnPart() {
+		bad.Route, bad.Body = "stream", ""
+		fault, trigger = "part crashes runners", crashTrigger{part: "bad"}
+	}
+	p.countFault(fault)
+	p.site.crashOn(trigger)
+	defer p.site.crashOn(crashTrigger{})
 	client := &http.Client{Timeout: 6 * time.Second}
 	defer client.CloseIdleConnections()
 	var senders sync.WaitGroup
@@ -133,20 +139,34 @@
 	for n := 0; sleep(ctx, time.Duration(50+rng.IntN(400))*time.Millisecond); n++ {
 		e, id := p.site.EntryVMs[rng.IntN(len(p.site.EntryVMs))], fmt.Sprint("bad-", n)
 		p.recordSending(id, e.Name)
-		r := CallerRequest{Route: "stream", Path: "x", ID: id, Key: "key", Body: "body of " + id, Parts: fmt.Sprintf("aa:40,bad:60,own-%d:20", n)}
+		r := bad
+		r.ID = id
+		if trigger.part != "" {
+			r.Body, r.Parts = "body of "+id, fmt.Sprintf("aa:40,bad:60,own-%d:20", n)
+		}
 		senders.Go(func() { SendRequest(ctx, client, e.CallerAddress(), r) })
 	}
 }
 
-// checkCrashes checks how many requests with the part that crashes runners reached them from
-// entry VMs without a fault.
+// crashesOnPart reports whether the run has a part of prompts that crashes runners, or else a
+// request.
+func (p *soakRun) crashesOnPart() bool {
+	return p.Seed%2 == 0
+}
+
+// checkCrashes checks how many requests that crash runners reached them from entry VMs without
+// a fault.
 func (p *soakRun) checkCrashes() {
-	late := p.site.lateRequests(maxCrashesOfPart, func(a arrival) bool {
+	limit := maxCrashesOfRequest
+	if p.crashesOnPart() {
+		limit = maxCrashesOfPart
+	}
+	late := p.site.lateRequests(limit, func(a arrival) bool {
 		entry := p.sent[a.id].entry
 		return !p.site.history.hadFault(entry, a.at.Add(-2*contactTime), a.at)
 	})
 	if late > maxLateRequests {
-		p.addViolation("%d requests with a part that crashes runners reached them later than %v after the fifth crash", late, contactTime)
+		p.addViolation("%d requests that crash runners reached them later than %v after crash %d", late, contactTime, limit)
 	}
 }
 
