--- a/internal/run/chiverelay/notice_test.go
+++ b/internal/run/chiverelay/notice_test.go
@@ -1,10 +1,12 @@
 package chiverelay
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -253,3 +255,95 @@
 	}
 	return served, vain
 }
+
+// pausedWithin reports whether the relay knows within a time that a runner wants a pause.
+func (s *testCluster) pausedWithin(r *chivefleet.Runner, limit time.Duration) bool {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if !s.relay.State.Accepts(r) {
+			return true
+		}
+	}
+	return false
+}
+
+// TestPauseThatNobodyReads guards against a pause that is forgotten because the answer in which
+// the runner asks for it is on its way as the attempt ends.
+func TestPauseThatNobodyReads(t *testing.T) {
+	const refusalDelay, early = 100 * time.Millisecond, 8 * time.Millisecond
+	tests := []struct {
+		give  string
+		kinds []string
+		// send sends a request whose attempt ends shortly before the answer arrives.
+		send func(s *testCluster, path, id string)
+	}{
+		{"the caller leaves", []string{"any", "once", "stream"}, func(s *testCluster, path, id string) {
+			ctx, cancel := context.WithTimeout(context.Background(), refusalDelay-early)
+			defer cancel()
+			s.send(ctx, t, path, id, "body")
+		}},
+		{"the deadline passes", []string{"any", "once", "stream"}, func(s *testCluster, path, id string) {
+			s.sendWithin(t, strings.Trim(strings.TrimSuffix(path, "x"), "/"), id, refusalDelay-early)
+		}},
+		{"the stream is migrated", []string{"stream"}, func(s *testCluster, path, id string) {
+			time.AfterFunc(refusalDelay-early, func() {
+				s.relay.State.SetSlowRunners("peer", map[string]float64{"r0": migrationSlowdown})
+			})
+			s.send(context.Background(), t, path, id, "body")
+		}},
+	}
+	for _, tt := range tests {
+		for _, kind := range tt.kinds {
+			t.Run(tt.give+", "+kind, func(t *testing.T) {
+				t.Parallel()
+				s := newTestCluster(t, 76, 0)
+				s.setRunners(0, 0, 1, 2)
+				asking := s.fleet.Runners["s"][0]
+				for _, other := range s.fleet.Runners["s"][1:] {
+					s.relay.State.NotePause(other.Incarnation(), refusalDelay/2)
+				}
+				s.runners[0].say("Pause: 10s\r\n", http.StatusServiceUnavailable)
+				s.runners[0].refusalDelay = refusalDelay
+				tt.send(s, "/"+kind+"/x", "left")
+				if n := s.runners[0].arrivalCount(); n != 1 {
+					t.Fatalf("the runner got %d requests, want 1", n)
+				}
+				if !s.pausedWithin(asking, time.Second) {
+					t.Error("the pause is not known")
+				}
+			})
+		}
+	}
+}
+
+// TestPauseInSkippedAnswer guards against a pause that is forgotten because the answer in which
+// the runner asks for it belongs to another request.
+func TestPauseInSkippedAnswer(t *testing.T) {
+	s := newTestCluster(t, 77, 0)
+	s.setRunners(0, 0)
+	s.runners[0].onlyFault = faultForeignRefusal
+	if g := s.send(t.Context(), t, "/any/x", "skipped", "body"); g.status != http.StatusOK || g.body != responseBody("skipped") {
+		t.Errorf("the request was not served: status %d", g.status)
+	}
+	if s.relay.State.Accepts(s.fleet.Runners["s"][0]) {
+		t.Error("the pause is not known")
+	}
+}
+
+// TestPauseOutlivesRegistration guards against a pause that is forgotten because the runner
+// that asks for it has started again under its ID and is registered anew only later.
+func TestPauseOutlivesRegistration(t *testing.T) {
+	s := newTestCluster(t, 78, 0)
+	s.setRunners(1, 0)
+	s.relay.State.NotePause(s.fleet.Runners["s"][0].Incarnation(), 300*time.Millisecond)
+	notedAt := time.Now()
+	s.setRunners(2, 0)
+	s.relay.State.Prune(s.fleet)
+	next := s.fleet.Runners["s"][0]
+	if s.relay.State.Accepts(next) {
+		t.Error("the pause is not known once the runner is registered anew")
+	}
+	time.Sleep(time.Until(notedAt.Add(350 * time.Millisecond)))
+	if !s.relay.State.Accepts(next) {
+		t.Error("the pause has not ended")
+	}
+}
--- a/internal/run/chiverelay/relay_test.go
+++ b/internal/run/chiverelay/relay_test.go
@@ -102,6 +102,8 @@
 	faultCount
 	// faultCrash runs the request and ends the process: its connections and its listener.
 	faultCrash
+	// faultForeignRefusal sends the refusal of another request first, with a pause.
+	faultForeignRefusal
 )
 
 // runner is a test runner on raw TCP connections that injects faults at random.
@@ -128,6 +130,8 @@
 	// pause of askedPause, 0 if it never does; busy is their present number.
 	maxBusy, busy int
 	askedPause    time.Duration
+	// refusalDelay is the time before a response with status 503.
+	refusalDelay time.Duration
 	// askedAt holds when the runner has asked for pauses.
 	askedAt []time.Time
 	// vain counts the requests that arrived in a pause, later than pauseSlack after the
@@ -238,9 +242,11 @@
 		notice, status = fmt.Sprintf("Pause: %v\r\n", r.askedPause), http.StatusServiceUnavailable
 	}
 	r.busy++
+	refusalDelay := r.refusalDelay
 	r.mu.Unlock()
 	defer r.endRequest()
 	if fault == faultBusy || status == http.StatusServiceUnavailable {
+		time.Sleep(refusalDelay)
 		_, err := io.WriteString(c, "HTTP/1.1 503 Busy\r\n"+notice+"Notrun: 1\r\nContent-Length: 0\r\n\r\n")
 		return err == nil
 	}
@@ -270,6 +276,8 @@
 		text += encode("stranger")
 	case faultForeignResponse:
 		text = encode("stranger") + text
+	case faultForeignRefusal:
+		text = "HTTP/1.1 503 Busy\r\nId: stranger\r\nPause: 10s\r\nNotrun: 1\r\nContent-Length: 0\r\n\r\n" + text
 	case faultUnframed:
 		text, open = fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nSignature: s\r\n\r\n%s", id, responseBody(id)), false
 	case faultTruncated:
