Read the answer of a runner whose attempt has ended

Cause: an attempt ends with its caller, its deadline or its migration, and its connection was reset at once. An answer on its way was lost with it, and with that what the runner says of itself. Reproduced; that it is what the users saw is not shown.

Change: if no answer has begun, the connection is read for 0.1 s more, and what the runner says is noted. Then it is reset as before.

--- a/internal/run/chiverelay/attempt.go
+++ b/internal/run/chiverelay/attempt.go
@@ -39,10 +39,12 @@
 	x.attempts++
 	x.retryTaken = false
 	x.tried[runner.ID] = true
-	match := func(resp *http.Response) bool { return x.relay.Dialect.Matches(x.request.ID, resp) }
-	resp, stop, err := conn.Exchange(ctx, x.r, x.requestHeader(runner), x.body, match)
+	resp, stop, err := conn.Exchange(ctx, chiverunner.Outgoing{
+		Request: x.r, Header: x.requestHeader(runner), Body: x.body,
+		Match: func(resp *http.Response) bool { return x.relay.Dialect.Matches(x.request.ID, resp) },
+		Late:  func(resp *http.Response) { x.applyNotices(runner, x.relay.Dialect.Response(resp)) },
+	})
 	if err != nil {
-		conn.Abort()
 		var sendErr *chiverunner.SendError
 		if !errors.As(err, &sendErr) || sendErr.Sent {
 			x.mayHaveRun = true
