Heed what a runner says in answers to other requests

An answer that belongs to another request was passed over unread, also if the runner asked for a pause in it. What it says of its runner is noted now; that it names no rate is not.

--- a/internal/peer/chiverunner/conn.go
+++ b/internal/peer/chiverunner/conn.go
@@ -93,9 +93,10 @@
 	Header, Body []byte
 	// Match selects the response; others are skipped.
 	Match Matcher
-	// Late is called with the header of a response that arrives within lateTime after ctx has
-	// ended, maybe after Exchange has returned.
-	Late func(*http.Response)
+	// Unreturned is called with the header of each response that Exchange does not return: one
+	// to another request, or one that arrives within lateTime after ctx has ended. It may be
+	// called after Exchange has returned.
+	Unreturned func(*http.Response)
 }
 
 // Exchange sends a request and reads the header of the response. The connection is aborted
@@ -128,7 +129,7 @@
 	case err != nil:
 		go c.receiveLate(o)
 	default:
-		o.Late(resp)
+		o.Unreturned(resp)
 		c.Abort()
 		err = Error.Wrap(ctx.Err())
 	}
@@ -147,6 +148,7 @@
 			return resp, nil
 		}
 		c.noReuse = true
+		o.Unreturned(resp)
 		if err := skip(resp.Body); err != nil {
 			return nil, Error.Wrap(fmt.Errorf("skipping an answer to another request: %w", err))
 		}
@@ -162,7 +164,7 @@
 	// It fails only if the connection is closed already.
 	_ = c.nc.SetDeadline(time.Now().Add(lateTime))
 	if resp, err := c.receive(o); err == nil {
-		o.Late(resp)
+		o.Unreturned(resp)
 	}
 }
 
--- a/internal/peer/chiverunner/conn_test.go
+++ b/internal/peer/chiverunner/conn_test.go
@@ -35,9 +35,9 @@
 
 // getRequest is a request that any response matches.
 var getRequest = Outgoing{
-	Header: []byte("GET / HTTP/1.1\r\n\r\n"),
-	Match:  func(*http.Response) bool { return true },
-	Late:   func(*http.Response) {},
+	Header:     []byte("GET / HTTP/1.1\r\n\r\n"),
+	Match:      func(*http.Response) bool { return true },
+	Unreturned: func(*http.Response) {},
 }
 
 // TestCancelResetsConnection checks that the connection of a canceled request is reset.
@@ -192,7 +192,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		late := make(chan int, 1)
 		o := getRequest
-		o.Late = func(resp *http.Response) { late <- resp.StatusCode }
+		o.Unreturned = func(resp *http.Response) { late <- resp.StatusCode }
 		time.AfterFunc(20*time.Millisecond, cancel)
 		if _, _, err := c.Exchange(ctx, o); err == nil {
 			t.Fatal("canceled request returned a response")
--- a/internal/run/chiverelay/attempt.go
+++ b/internal/run/chiverelay/attempt.go
@@ -41,8 +41,8 @@
 	x.tried[runner.ID] = true
 	resp, stop, err := conn.Exchange(ctx, chiverunner.Outgoing{
 		Request: x.r, Header: x.requestHeader(runner), Body: x.body,
-		Match: func(resp *http.Response) bool { return x.relay.Dialect.Matches(x.request.ID, resp) },
-		Late:  func(resp *http.Response) { x.applyNotices(runner, x.relay.Dialect.Response(resp)) },
+		Match:      func(resp *http.Response) bool { return x.relay.Dialect.Matches(x.request.ID, resp) },
+		Unreturned: func(resp *http.Response) { x.applyUnreturned(runner, x.relay.Dialect.Response(resp)) },
 	})
 	if err != nil {
 		var sendErr *chiverunner.SendError
--- a/internal/run/chiverelay/notice.go
+++ b/internal/run/chiverelay/notice.go
@@ -157,11 +157,25 @@
 	}
 }
 
-// applyNotices records what a runner says in the header of an answer.
+// applyNotices records what a runner says in the header of its answer to the request.
 func (x *exchange) applyNotices(runner *chivefleet.Runner, r Response) {
 	if !r.Misdirected {
 		x.applyRate(runner, r)
 	}
+	x.applyRequests(runner, r)
+}
+
+// applyUnreturned records what a runner says in the header of an answer that is late or belongs
+// to another request. That it names no rate says nothing of later answers.
+func (x *exchange) applyUnreturned(runner *chivefleet.Runner, r Response) {
+	if !r.Misdirected && r.Rate != nil {
+		x.applyRate(runner, r)
+	}
+	x.applyRequests(runner, r)
+}
+
+// applyRequests records that a runner wants no more requests, for a time or for good.
+func (x *exchange) applyRequests(runner *chivefleet.Runner, r Response) {
 	if r.Leaving && x.relay.State.NoteLeaving(runner.Incarnation()) {
 		x.relay.Log.Info("Runner says that it is leaving.", "runner", runner.ID, "born", runner.StartedAtMillis, "request", x.request.ID)
 	}
