Let a pause also hold for the next incarnation of a runner's ID

The answer does not say which incarnation has sent it, so the pause was noted for the registered one and forgotten with the new registration.

Change: up to 15 s of a pause hold for whichever incarnation has the ID, in the same map. A runner that has really started anew is spared for the rest of that time at most.

--- a/internal/run/chiverelay/notice.go
+++ b/internal/run/chiverelay/notice.go
@@ -15,6 +15,9 @@
 	noticeMaxAge = 10 * time.Minute
 	// maxPause is the longest pause that a runner may ask for.
 	maxPause = time.Hour
+	// maxCarriedPause is how much of a pause also holds for other incarnations of the runner's
+	// ID: its registration may be that late, above all while the store is away.
+	maxCarriedPause = 15 * time.Second
 	// pauseRecovery is the time in which the number of requests that a runner may have
 	// doubles after its pause.
 	pauseRecovery = 2 * time.Second
@@ -57,9 +60,27 @@
 	n.pausedUntil, n.receivedAt = max(n.pausedUntil, now.Add(min(d, maxPause))), now
 	n.limit = max(1, float64(rs.load(i.ID, now))/2)
 	rs.notices[i] = n
+	if whichever := anyIncarnation(i.ID); whichever != i {
+		c := rs.notices[whichever]
+		c.pausedUntil, c.receivedAt = max(c.pausedUntil, now.Add(min(d, maxCarriedPause))), now
+		rs.notices[whichever] = c
+	}
 	return n.pausedUntil.Sub(now)
 }
 
+// anyIncarnation is the key of the pauses that whichever incarnation of a runner's ID has asked
+// for. An answer does not say which has sent it: a runner may have started again under its ID
+// and not be registered anew yet.
+func anyIncarnation(id string) chivefleet.Incarnation {
+	return chivefleet.Incarnation{ID: id}
+}
+
+// pausedUntil returns the moment until which a runner wants no requests, 0 if it has not asked
+// for a pause. The caller must hold mu.
+func (rs *RunnerState) pausedUntil(i chivefleet.Incarnation) chiveclock.Moment {
+	return max(rs.notices[i].pausedUntil, rs.notices[anyIncarnation(i.ID)].pausedUntil)
+}
+
 // shortestPause returns the shortest time that is left of the pauses of runners, or 0 if
 // one of them has not asked for a pause or there are none. Runners that are leaving do
 // not count.
@@ -72,11 +93,11 @@
 	now := chiveclock.Now()
 	shortest := time.Duration(0)
 	for _, r := range runners {
-		n := rs.notices[r.Incarnation()]
-		if n.leaving {
+		i := r.Incarnation()
+		if rs.notices[i].leaving {
 			continue
 		}
-		left := n.pausedUntil.Sub(now)
+		left := rs.pausedUntil(i).Sub(now)
 		if left <= 0 {
 			return 0
 		}
@@ -99,21 +120,22 @@
 	return int(min(float64(math.MaxInt32), n.limit*growth)), true
 }
 
-// NoticeCounts returns the numbers of incarnations that have said that they are leaving
-// and of those that have asked for a pause which has not ended.
+// NoticeCounts returns the number of incarnations that have said that they are leaving, and
+// that of the runners that have asked for a pause which has not ended.
 func (rs *RunnerState) NoticeCounts() (leaving, paused int) {
 	now := chiveclock.Now()
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
-	for _, n := range rs.notices {
+	pausedIDs := map[string]bool{}
+	for i, n := range rs.notices {
 		if n.leaving {
 			leaving++
 		}
 		if now < n.pausedUntil {
-			paused++
+			pausedIDs[i.ID] = true
 		}
 	}
-	return leaving, paused
+	return leaving, len(pausedIDs)
 }
 
 // Accepts reports whether a runner takes new requests of this entry VM, by what it has
@@ -129,8 +151,8 @@
 	if len(rs.notices) == 0 {
 		return true
 	}
-	n := rs.notices[r.Incarnation()]
-	return !n.leaving && (n.pausedUntil == 0 || chiveclock.Now() >= n.pausedUntil)
+	i := r.Incarnation()
+	return !rs.notices[i].leaving && chiveclock.Now() >= rs.pausedUntil(i)
 }
 
 // SaysLeaving reports whether a runner has said in an answer that it is leaving.
--- a/internal/run/chiverelay/notice_test.go
+++ b/internal/run/chiverelay/notice_test.go
@@ -330,11 +330,13 @@
 }
 
 // TestPauseOutlivesRegistration guards against a pause that is forgotten because the runner
-// that asks for it has started again under its ID and is registered anew only later.
+// that asks for it has started again under its ID and is registered anew only later, and
+// against a long pause that a former incarnation has asked for and that binds the next one.
 func TestPauseOutlivesRegistration(t *testing.T) {
 	s := newTestCluster(t, 78, 0)
 	s.setRunners(1, 0)
-	s.relay.State.NotePause(s.fleet.Runners["s"][0].Incarnation(), 300*time.Millisecond)
+	former := s.fleet.Runners["s"][0]
+	s.relay.State.NotePause(former.Incarnation(), 300*time.Millisecond)
 	notedAt := time.Now()
 	s.setRunners(2, 0)
 	s.relay.State.Prune(s.fleet)
@@ -342,8 +344,18 @@
 	if s.relay.State.Accepts(next) {
 		t.Error("the pause is not known once the runner is registered anew")
 	}
+	if _, paused := s.relay.State.NoticeCounts(); paused != 1 {
+		t.Errorf("%d runners are paused, want 1", paused)
+	}
 	time.Sleep(time.Until(notedAt.Add(350 * time.Millisecond)))
 	if !s.relay.State.Accepts(next) {
 		t.Error("the pause has not ended")
 	}
+	s.relay.State.NotePause(former.Incarnation(), time.Hour)
+	if left := s.relay.State.shortestPause([]*chivefleet.Runner{next}); left < maxCarriedPause-time.Second || left > maxCarriedPause {
+		t.Errorf("the next incarnation is bound for %v", left)
+	}
+	if left := s.relay.State.shortestPause([]*chivefleet.Runner{former}); left < time.Hour-time.Second {
+		t.Errorf("the former incarnation is bound for %v", left)
+	}
 }
