Fail the wait for entry VMs whose process has ended

WaitReady of the stand-in counted a process that had ended as ready, so that a failure at the start, such as an address in use, showed later as something else. It names the process, how it ended and the last line of its log now.

Measured: TestWaitReadyNoticesEnds; the wait returned nil before.

--- a/internal/bench/chiveplatform/site.go
+++ b/internal/bench/chiveplatform/site.go
@@ -349,6 +349,9 @@
 		return "still running"
 	}
 	cmd, _ := e.current()
+	if cmd == nil {
+		return "no start"
+	}
 	return cmd.ProcessState.String()
 }
 
@@ -364,13 +367,16 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// WaitReady waits until all running entry VMs are ready. It returns an error if that
-// takes longer than the limit.
+// WaitReady waits until all entry VMs are ready. It returns an error if that takes longer than
+// the limit, or if the process of one has ended.
 func (s *Site) WaitReady(limit time.Duration) error {
 	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
 		ready := true
 		for _, e := range s.EntryVMs {
-			ready = ready && (!e.Running() || e.Ready())
+			if !e.Running() {
+				return fmt.Errorf("process of %s has ended with %s: %s", e.Name, e.exitState(), e.lastLine())
+			}
+			ready = ready && e.Ready()
 		}
 		if ready {
 			return nil
@@ -379,6 +385,16 @@
 	return errors.New("entry VMs are not ready")
 }
 
+// lastLine returns the last line of the log of the entry VM, or why it cannot be read.
+func (e *EntryVM) lastLine() string {
+	data, err := os.ReadFile(e.LogPath)
+	if err != nil {
+		return err.Error()
+	}
+	text := strings.TrimSpace(string(data))
+	return text[strings.LastIndex(text, "\n")+1:]
+}
+
 // Resolve returns the addresses that the directory of the entry VM gives to a caller
 // in a zone.
 func (e *EntryVM) Resolve(ctx context.Context, zone string) ([]string, error) {
--- a/internal/bench/chiveplatform/site_test.go
+++ b/internal/bench/chiveplatform/site_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -75,6 +77,31 @@
 	return s
 }
 
+// TestWaitReadyNoticesEnds guards against a process that has ended at its start and counts as
+// ready.
+func TestWaitReadyNoticesEnds(t *testing.T) {
+	s, err := NewSite(t.TempDir(), entryProgram, testNet(7), 1, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := s.EntryVMs[0]
+	occupied, err := net.Listen("tcp4", e.CallerAddress())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := errors.Join(occupied.Close(), s.Close()); err != nil {
+			t.Error(err)
+		}
+	})
+	if err := errors.Join(s.Configure("k1"), e.Start()); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.WaitReady(5 * time.Second); err == nil || !strings.Contains(err.Error(), "has ended") || !strings.Contains(err.Error(), e.CallerAddress()) {
+		t.Errorf("error %v, want one that names the end and the address in use", err)
+	}
+}
+
 // expectedStream returns the complete stream of events that answers a request.
 func expectedStream(id string, eventCount int) string {
 	var b strings.Builder
