Run the endless runners of a test in a process of their own

TestManyEndlessAnswers counted the memory of its own 100 runners as that of the relay. They run in a copy of the test's process now; relay and callers stay in the one that is measured, with the same bound of 64 MB, and a collection before it drops what earlier tests have left.

--- a/internal/run/chiverelay/unbounded_test.go
+++ b/internal/run/chiverelay/unbounded_test.go
@@ -7,8 +7,11 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"os/exec"
 	"runtime"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -101,10 +104,19 @@
 
 // setEndless makes endless runners the only ones of the test cluster.
 func (s *testCluster) setEndless(list ...*endlessRunner) {
+	var addresses []string
+	for _, r := range list {
+		addresses = append(addresses, r.listener.Addr().String())
+	}
+	s.setAddresses(addresses)
+}
+
+// setAddresses makes the runners at addresses the only ones of the test cluster.
+func (s *testCluster) setAddresses(addresses []string) {
 	runners := map[string]*chivefleet.Runner{}
-	for i, r := range list {
+	for i, addr := range addresses {
 		id := fmt.Sprint("e", i)
-		runners[id] = &chivefleet.Runner{ID: id, Service: "s", Address: r.listener.Addr().String(), Slots: 100}
+		runners[id] = &chivefleet.Runner{ID: id, Service: "s", Address: addr, Slots: 100}
 	}
 	s.register(runners)
 }
@@ -160,17 +172,63 @@
 	return resp.StatusCode
 }
 
-// TestManyEndlessAnswers checks that 100 answers without an end at once leave the process
-// under 64 MB of memory.
-func TestManyEndlessAnswers(t *testing.T) {
-	const count, maxMemory = 100, 64 << 20
-	s := newTestCluster(t, 62, 0)
-	var list []*endlessRunner
+// envEndlessCount names the environment variable that holds the number of runners of
+// TestEndlessRunnerProcess.
+const envEndlessCount = "CHIVERELAY_ENDLESS_RUNNERS"
+
+// TestEndlessRunnerProcess runs endless runners and prints their addresses, until its standard
+// input ends, in the process that startEndlessProcess starts. It does nothing elsewhere.
+func TestEndlessRunnerProcess(t *testing.T) {
+	count, err := strconv.Atoi(os.Getenv(envEndlessCount))
+	if err != nil {
+		return
+	}
 	for i := range count {
 		tt := endlessAnswers[i%len(endlessAnswers)]
-		list = append(list, newEndlessRunner(t, tt.start, tt.repeat, max(tt.pause, 100*time.Microsecond)))
+		r := newEndlessRunner(t, tt.start, tt.repeat, max(tt.pause, 100*time.Microsecond))
+		fmt.Println(r.listener.Addr())
+	}
+	// The input ends with the process that started this one, at the latest.
+	_, _ = io.Copy(io.Discard, os.Stdin)
+}
+
+// startEndlessProcess starts a process with endless runners, whose memory does not count as that
+// of the relay, and returns their addresses.
+func startEndlessProcess(t *testing.T, count int) (addresses []string) {
+	t.Helper()
+	cmd := exec.Command(os.Args[0], "-test.run=^TestEndlessRunnerProcess$")
+	cmd.Env = append(os.Environ(), fmt.Sprintf("%s=%d", envEndlessCount, count))
+	in, inErr := cmd.StdinPipe()
+	out, outErr := cmd.StdoutPipe()
+	if err := errors.Join(inErr, outErr, cmd.Start()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := errors.Join(in.Close(), cmd.Wait()); err != nil {
+			t.Error(err)
+		}
+	})
+	lines := bufio.NewScanner(out)
+	for len(addresses) < count && lines.Scan() {
+		if _, _, err := net.SplitHostPort(lines.Text()); err != nil {
+			t.Fatalf("no address of a runner: %v", err)
+		}
+		addresses = append(addresses, lines.Text())
 	}
-	s.setEndless(list...)
+	if len(addresses) < count {
+		t.Fatalf("%d of %d runners have started", len(addresses), count)
+	}
+	return addresses
+}
+
+// TestManyEndlessAnswers checks that 100 answers without an end at once leave the process of the
+// relay, which is also that of the callers here, under 64 MB of memory.
+func TestManyEndlessAnswers(t *testing.T) {
+	const count, maxMemory = 100, 64 << 20
+	s := newTestCluster(t, 62, 0)
+	s.setAddresses(startEndlessProcess(t, count))
+	// What earlier tests have left does not count.
+	runtime.GC()
 	var peak atomic.Uint64
 	measured := make(chan struct{})
 	done := make(chan struct{})
