Compare the requests of a runner after its limit with those before it

TestLimitOfRunner wanted at least 20 requests in 4 s after the limit and failed now and then, also on a quiet machine: 16, 17 and 18 were seen. Traced by the requests of all runners in that span: 26, 55, 55 and 24. The runner shares its zone with another, so that its usual requests are 27 in 4 s, not the 40 that the test took for given, and the bound of half of them was three quarters. Besides, the span began with the end of the limit, which nobody knows before the next answer, up to 2 s later at half a request a second.

The test now counts the usual requests over 8 s before the limit, and those over 8 s that begin 10 s after the first answer without one, and wants at least half of the former, as before. That first answer must come within 10 s.

--- a/internal/bench/chiveplatform/limit_test.go
+++ b/internal/bench/chiveplatform/limit_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -12,9 +13,11 @@
 )
 
 const (
-	// recoveryBound is the time after which a runner that names no limit any more must get
-	// its usual requests. It was in need, so that they return step by step.
+	// recoveryBound is the time after its first answer without a limit from which a runner must
+	// get its usual requests. It was in need, so that they return step by step.
 	recoveryBound = 10 * time.Second
+	// usualSpan is the time over which the usual requests of a runner are counted.
+	usualSpan = 2 * limitWindow
 )
 
 // TestLimitOfRunner guards against a runner that gets more requests from all entry VMs
@@ -47,10 +50,11 @@
 			s := startSite(t, 40+i, 6, 4)
 			stop := s.sendCalls(t, 25*time.Millisecond)
 			defer stop()
-			time.Sleep(time.Second)
+			time.Sleep(time.Second + usualSpan)
 			capped := &s.Runners[0].notices
 			capped.nameLimit(tt.limit)
 			namedAt := time.Now()
+			_, usual := busiestWindow(capped.list(), namedAt.Add(-usualSpan), namedAt)
 			time.Sleep(time.Second)
 			tt.trouble(t, s)
 			time.Sleep(time.Until(namedAt.Add(contactTime + 2*limitWindow)))
@@ -63,12 +67,18 @@
 				t.Errorf("the runner got %d requests, want at least a third of what it takes, %.0f", all, least)
 			}
 			capped.nameLimit(0)
-			time.Sleep(recoveryBound + limitWindow)
-			after, _ := busiestWindow(capped.list(), endedAt.Add(recoveryBound), time.Now())
-			if usual := 10 * limitWindow.Seconds(); float64(after) < usual/2 {
-				t.Errorf("the runner got %d requests in %v after it had ceased to name a limit, want at least %.0f", after, limitWindow, usual/2)
+			time.Sleep(recoveryBound)
+			freeAt, ok := firstArrival(capped.list(), endedAt)
+			if !ok {
+				t.Fatalf("the runner got no request within %v after it had ceased to name a limit", recoveryBound)
+			}
+			recoveredAt := freeAt.Add(recoveryBound)
+			time.Sleep(time.Until(recoveredAt.Add(usualSpan)))
+			_, after := busiestWindow(capped.list(), recoveredAt, recoveredAt.Add(usualSpan))
+			if after < usual/2 {
+				t.Errorf("the runner got %d requests in %v after it had ceased to name a limit, want at least half of %d, as before", after, usualSpan, usual)
 			}
-			t.Logf("at most %d requests in %v and %d in all under the limit, %d after it", most, limitWindow, all, after)
+			t.Logf("%d requests in %v before, at most %d in %v and %d in all under the limit, %d in %v after it", usual, usualSpan, most, limitWindow, all, after, usualSpan)
 		})
 	}
 }
@@ -131,6 +141,15 @@
 	}
 }
 
+// firstArrival returns when the first request after a moment arrived, and false if none has.
+func firstArrival(arrivals []arrival, from time.Time) (time.Time, bool) {
+	i := slices.IndexFunc(arrivals, func(a arrival) bool { return a.at.After(from) })
+	if i < 0 {
+		return time.Time{}, false
+	}
+	return arrivals[i].at, true
+}
+
 // busiestWindow returns the largest number of arrivals in a span of limitWindow that lies
 // between two moments, and the number of all arrivals between them.
 func busiestWindow(arrivals []arrival, from, to time.Time) (most, all int) {
