Send a request on after a refusal, whatever has crashed before

The limit on an exchange counted crashes under requests that are alike also if its own attempt was only refused by a busy runner, which shows nothing about the request: the caller got 503 with runners free. It holds for an attempt that has broken off unanswered now.

--- a/internal/run/chiverelay/attempt.go
+++ b/internal/run/chiverelay/attempt.go
@@ -37,7 +37,7 @@
 		return false
 	}
 	x.attempts++
-	x.retryTaken = false
+	x.retryTaken, x.brokeOff = false, false
 	x.tried[runner.ID] = true
 	resp, stop, err := conn.Exchange(ctx, chiverunner.Outgoing{
 		Request: x.r, Header: x.requestHeader(runner), Body: x.body,
--- a/internal/run/chiverelay/crash_guard.go
+++ b/internal/run/chiverelay/crash_guard.go
@@ -216,10 +216,10 @@
 	return true
 }
 
-// mayCrashNext reports whether the request may crash the next runner too: it broke off
-// unanswered at more than one.
+// mayCrashNext reports whether the request, whose latest attempt has broken off unanswered, may
+// crash the next runner too: it has broken off at more than one.
 func (x *exchange) mayCrashNext() bool {
-	return x.relay.Crashes.breaks(chivesuspect.Suspect{ID: x.fingerprint, Kind: chivesuspect.Request}) > 1
+	return x.brokeOff && x.relay.Crashes.breaks(chivesuspect.Suspect{ID: x.fingerprint, Kind: chivesuspect.Request}) > 1
 }
 
 // noteBreak records that the request broke off unanswered at a runner, and finds out whether
@@ -228,6 +228,7 @@
 	if ctx.Err() != nil || runner.Leaving || x.relay.State.SaysLeaving(runner) {
 		return
 	}
+	x.brokeOff = true
 	guard, pool := &x.relay.Crashes, x.relay.Pool
 	if !guard.noteBreak(runner.Incarnation(), x.suspects()) {
 		return
--- a/internal/run/chiverelay/crash_guard_test.go
+++ b/internal/run/chiverelay/crash_guard_test.go
@@ -154,6 +154,23 @@
 	}
 }
 
+// TestRefusedRequestIsSentOn guards against a request that is not sent on after a refusal of a
+// busy runner because requests that are alike have ended runners before.
+func TestRefusedRequestIsSentOn(t *testing.T) {
+	s := newTestCluster(t, 79, 0)
+	fact := chivesuspect.Fact{Suspect: chivesuspect.Suspect{ID: fingerprint("w", http.MethodPost, "127.0.0.1", "/any/x", []byte("body")), Kind: chivesuspect.Request}}
+	for i := range 2 {
+		fact.Crashes = append(fact.Crashes, chivesuspect.Crash{Runner: fmt.Sprint("former-", i), Age: time.Minute})
+	}
+	s.relay.Crashes.Merge([]chivesuspect.Fact{fact}, 0)
+	for _, r := range s.runners[:2] {
+		r.onlyFault = faultBusy
+	}
+	if g := s.send(t.Context(), t, "/any/x", "sent-on", "body"); g.status != http.StatusOK {
+		t.Errorf("status %d, want %d", g.status, http.StatusOK)
+	}
+}
+
 // TestBrokenRequestIsSentAgain checks that a request which comes again and breaks off each
 // time at a runner that goes on is served by another one.
 func TestBrokenRequestIsSentAgain(t *testing.T) {
--- a/internal/run/chiverelay/relay.go
+++ b/internal/run/chiverelay/relay.go
@@ -120,6 +120,9 @@
 	attempts int
 	// runnerID is the runner of the latest attempt.
 	runnerID string
+	// brokeOff reports whether the latest attempt broke off unanswered at a runner that is not
+	// leaving.
+	brokeOff bool
 	// unbounded counts the attempts whose answer exceeded a bound on its size.
 	unbounded int
 	// mayHaveRun reports whether a runner may have started the request.
