--- a/internal/policy/chivesuspect/suspect.go
+++ b/internal/policy/chivesuspect/suspect.go
@@ -22,7 +22,8 @@
 
 // Suspect is what may crash the runners that requests reach.
 type Suspect struct {
-	// ID is that of the part, or the fingerprint of the request.
+	// ID is that of the part, or the fingerprint of the request. Its key is that of parts for
+	// both, since earlier versions drop reports without it.
 	ID   string `cbor:"part"`
 	Kind Kind   `cbor:"kind,omitempty"`
 }
