--- a/internal/run/chiverelay/notice.go
+++ b/internal/run/chiverelay/notice.go
@@ -58,7 +58,7 @@
 	defer rs.mu.Unlock()
 	n := rs.notices[i]
 	n.pausedUntil, n.receivedAt = max(n.pausedUntil, now.Add(min(d, maxPause))), now
-	n.limit = max(1, float64(rs.load(i.ID, now))/2)
+	n.limit = max(1, float64(rs.loads.total(i.ID, now))/2)
 	rs.notices[i] = n
 	if whichever := anyIncarnation(i.ID); whichever != i {
 		c := rs.notices[whichever]
--- a/internal/run/chiverelay/relay.go
+++ b/internal/run/chiverelay/relay.go
@@ -85,7 +85,7 @@
 	if rl.keepAlivesDisabled.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	x := &exchange{relay: rl, w: w, r: r, start: chiveclock.Now(), tried: map[string]bool{}, lastEvent: -1}
+	x := &exchange{relay: rl, w: w, r: r, start: chiveclock.Now(), work: 1, tried: map[string]bool{}, lastEvent: -1}
 	defer x.end()
 	if x.admit() {
 		x.forward()
@@ -107,6 +107,8 @@
 	route       *chivefleet.Route
 	service     *chivefleet.Service
 	workspace   *chivefleet.Workspace
+	// work is the expected work of the request, in usual requests of the service.
+	work float64
 
 	// tried holds the IDs of the runners that were tried, including those that
 	// could not be reached.
--- a/internal/run/chiverelay/runner_state.go
+++ b/internal/run/chiverelay/runner_state.go
@@ -19,8 +19,6 @@
 const (
 	// suspectDuration is how long other runners are preferred to one that failed.
 	suspectDuration = 1500 * time.Millisecond
-	// peerLoadMaxAge is the age from which load reports of peers are ignored.
-	peerLoadMaxAge = 2500 * time.Millisecond
 	// slowReportMaxAge is the age from which reports of slow runners are ignored.
 	slowReportMaxAge = 2500 * time.Millisecond
 )
@@ -41,11 +39,10 @@
 	limits RetryLimits
 
 	mu sync.Mutex
-	// localLoad, suspectUntil, slowStarts and inflight are keyed by runner ID,
-	// retryBudgets, limiters and ledgers by service, and peerLoads and slowReports by
-	// the source of the report.
-	localLoad    map[string]int
-	peerLoads    map[string]peerLoad
+	// loads counts the requests in flight at each runner.
+	loads loadBook
+	// suspectUntil, slowStarts and inflight are keyed by runner ID, retryBudgets,
+	// limiters and ledgers by service, and slowReports by the source of the report.
 	slowReports  map[string]slowReport
 	suspectUntil map[string]chiveclock.Moment
 	slowStarts   map[string]*chivequota.ColdLimiter
@@ -71,13 +68,6 @@
 	targetPause time.Duration
 }
 
-// peerLoad holds the number of requests that another entry VM or availability zone
-// has in flight at each runner, by runner ID.
-type peerLoad struct {
-	receivedAt chiveclock.Moment
-	inFlight   map[string]int
-}
-
 // slowReport holds the slowdown of each slow runner that a source reported, by
 // runner ID.
 type slowReport struct {
@@ -91,7 +81,7 @@
 // NewRunnerState returns the empty state of the entry VM named self.
 func NewRunnerState(self string, limits RetryLimits) *RunnerState {
 	return &RunnerState{
-		limits: limits, localLoad: map[string]int{}, peerLoads: map[string]peerLoad{}, slowReports: map[string]slowReport{}, suspectUntil: map[string]chiveclock.Moment{},
+		limits: limits, loads: newLoadBook(), slowReports: map[string]slowReport{}, suspectUntil: map[string]chiveclock.Moment{},
 		slowStarts: map[string]*chivequota.ColdLimiter{}, retryBudgets: map[string]*chivequota.RetryBudget{}, limiters: map[string]*concurrencyLimiter{}, inflight: map[string]map[*inflightAttempt]bool{}, ledgers: map[string]*chivefair.Ledger{},
 		notices: map[chivefleet.Incarnation]notice{}, self: self,
 	}
@@ -110,7 +100,7 @@
 func (rs *RunnerState) SetPeerLoad(source string, inFlight map[string]int) {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
-	rs.peerLoads[source] = peerLoad{receivedAt: chiveclock.Now(), inFlight: inFlight}
+	rs.loads.setPeer(source, inFlight, chiveclock.Now())
 }
 
 // SetSlowRunners replaces the slow runners reported by a source, given as
@@ -182,11 +172,7 @@
 func (rs *RunnerState) LocalLoad() map[string]int {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
-	list := make(map[string]int, len(rs.localLoad))
-	for id, n := range rs.localLoad {
-		list[id] = n
-	}
-	return list
+	return rs.loads.locals()
 }
 
 // MarkSuspect deprioritizes a runner for suspectDuration.
@@ -261,7 +247,7 @@
 		}
 		load, slots := 0, 0
 		for _, r := range runners {
-			load += min(rs.load(r.ID, now), r.Slots)
+			load += min(rs.loads.total(r.ID, now), r.Slots)
 			slots += r.Slots
 		}
 		n := len(runners)
@@ -315,7 +301,7 @@
 			}
 		}
 		candidates = append(candidates, chivechoice.Candidate{
-			InFlight: rs.load(r.ID, now), Slots: slots, SameZone: r.Zone == o.Zone,
+			InFlight: rs.loads.total(r.ID, now), Slots: slots, SameZone: r.Zone == o.Zone,
 			Suspect: now < rs.suspectUntil[r.ID], Tried: o.Tried[r.ID],
 		})
 		remaining = append(remaining, r)
@@ -326,7 +312,7 @@
 			return nil
 		}
 		if rs.admitSlowStart(remaining[i], o.Service, now) {
-			rs.localLoad[remaining[i].ID]++
+			rs.loads.reserve(remaining[i].ID)
 			if o.Rates != nil {
 				o.Rates.take(remaining[i])
 			}
@@ -360,21 +346,7 @@
 func (rs *RunnerState) Release(id string) {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
-	if rs.localLoad[id]--; rs.localLoad[id] <= 0 {
-		delete(rs.localLoad, id)
-	}
-}
-
-// load returns the number of requests that all entry VMs have in flight at a
-// runner. The caller must hold mu.
-func (rs *RunnerState) load(id string, now chiveclock.Moment) int {
-	n := rs.localLoad[id]
-	for _, p := range rs.peerLoads {
-		if now.Sub(p.receivedAt) < peerLoadMaxAge {
-			n += p.inFlight[id]
-		}
-	}
-	return n
+	rs.loads.release(id)
 }
 
 // Prune drops slow-start limiters of runners that are not in the fleet, expired
@@ -400,9 +372,5 @@
 			delete(rs.suspectUntil, id)
 		}
 	}
-	for source, p := range rs.peerLoads {
-		if now.Sub(p.receivedAt) > peerLoadMaxAge {
-			delete(rs.peerLoads, source)
-		}
-	}
+	rs.loads.prune(now)
 }
