--- a/internal/bench/chivemodel/group.go
+++ b/internal/bench/chivemodel/group.go
@@ -84,6 +84,9 @@
 	MaxCopies int
 	// Tolerance is the tolerance of the map planner.
 	Tolerance float64
+	// Headroom lets the tolerance and the least gain of a change follow the headroom that
+	// passes leave below MaxPause, in place of Tolerance.
+	Headroom bool
 	// DetectionDelay is the time from a shift of popularity until the planner
 	// responds to it.
 	DetectionDelay time.Duration
@@ -139,6 +142,8 @@
 	// while no change is in progress.
 	switchAt time.Duration
 	nextMap  *chivemap.Map
+	// passTime is the duration of the last pass.
+	passTime time.Duration
 	// planAfter is the time before which no map is planned.
 	planAfter      time.Duration
 	limitUpdatedAt time.Duration
@@ -242,9 +247,13 @@
 	if r.nextMap != nil || r.policy.MaxNewExperts == 0 || r.now < r.planAfter {
 		return
 	}
-	planner := chivemap.Planner{Tolerance: r.policy.Tolerance, MaxNewExperts: r.policy.MaxNewExperts, MaxCopies: r.policy.MaxCopies, Horizon: 400, MoveCost: 0.25}
+	thresholds := chivemap.Thresholds{Tolerance: r.policy.Tolerance, MinGain: 0.15}
+	if r.policy.Headroom {
+		thresholds = chivemap.ThresholdsFor(r.passTime, r.load.MaxPause)
+	}
+	planner := chivemap.Planner{Tolerance: thresholds.Tolerance, MaxNewExperts: r.policy.MaxNewExperts, MaxCopies: r.policy.MaxCopies, Horizon: 400, MoveCost: 0.25}
 	next := planner.Plan(r.currentMap, r.expertLoads)
-	if next == nil || next.StepSkew(r.expertLoads) > 0.85*r.currentMap.StepSkew(r.expertLoads) {
+	if next == nil || next.StepSkew(r.expertLoads) > (1-thresholds.MinGain)*r.currentMap.StepSkew(r.expertLoads) {
 		return
 	}
 	maxCopies := 0
@@ -288,7 +297,8 @@
 	if r.nextMap != nil {
 		duration *= 1 + r.group.CopySlowdown
 	}
-	r.now += time.Duration(duration)
+	r.passTime = time.Duration(duration)
+	r.now += r.passTime
 	for k := range r.queues {
 		r.advance(k)
 	}
--- a/internal/bench/chivemodel/group_test.go
+++ b/internal/bench/chivemodel/group_test.go
@@ -88,3 +88,28 @@
 		t.Errorf("utility is %.3f, %d requests were refused", o.Utility(), o.Refused)
 	}
 }
+
+// TestThresholdsByHeadroom answers shifts of popularity at the peak of a wave. Fixed
+// thresholds, which suit a load with headroom, leave a skew there that breaks pauses;
+// thresholds by headroom must serve callers better, and copy no more experts where passes
+// leave headroom.
+func TestThresholdsByHeadroom(t *testing.T) {
+	simulate := func(rate float64, byHeadroom bool) Outcome {
+		return simulateSeeds(newLoad(rate), Policy{
+			MaxNewExperts: 1, MaxCopies: 1, Tolerance: 0.25, Headroom: byHeadroom, DetectionDelay: 300 * time.Millisecond, LimitByPauses: true,
+		})
+	}
+	for _, rate := range []float64{74, 80} {
+		fixed, adaptive := simulate(rate, false), simulate(rate, true)
+		t.Logf("%v requests a second: fixed %.3f, by headroom %.3f", rate, fixed.Utility(), adaptive.Utility())
+		if adaptive.Utility() <= fixed.Utility() {
+			t.Errorf("%v requests a second: utility is %.3f, with fixed thresholds %.3f", rate, adaptive.Utility(), fixed.Utility())
+		}
+	}
+	const light = 40
+	fixed, adaptive := simulate(light, false), simulate(light, true)
+	if float64(adaptive.ExpertCopies) > 1.05*float64(fixed.ExpertCopies) || adaptive.Utility() < fixed.Utility() {
+		t.Errorf("%v requests a second: %d copies, utility %.3f; with fixed thresholds %d, %.3f",
+			light, adaptive.ExpertCopies, adaptive.Utility(), fixed.ExpertCopies, fixed.Utility())
+	}
+}
