Test takeovers, pulses and woken holders; release holds of late orders

A rank other than the first that a late order made hold the group was not noticed: reports of all ranks are now checked for a hold as they are polled.

--- a/internal/run/chivebalance/group.go
+++ b/internal/run/chivebalance/group.go
@@ -4,14 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
-	"sort"
 	"sync"
 	"time"
 
 	"github.com/chiveyoke/chiveyoke/internal/policy/chivelimit"
 	"github.com/chiveyoke/chiveyoke/internal/policy/chivemap"
 	"github.com/chiveyoke/chiveyoke/internal/state/chiveclock"
-	"github.com/chiveyoke/chiveyoke/internal/state/chivefleet"
 	"github.com/chiveyoke/chiveyoke/internal/state/chiverank"
 )
 
@@ -67,96 +65,6 @@
 	return time.Unix(0, int64(chiveclock.Now()))
 }
 
-// membership lists the members of a group as registered by their runners.
-type membership struct {
-	epoch   int64
-	size    int
-	engine  *chivefleet.Engine
-	members []chiverank.Member
-	// zones maps each rank to its availability zone.
-	zones map[int]string
-	// incompleteReason tells why the group is not open or its ranks are not each
-	// registered exactly once in the same epoch; it is empty if they are.
-	incompleteReason string
-}
-
-// collectGroups returns the groups of a fleet by name. Services without expert
-// layers are left out.
-func collectGroups(fleet *chivefleet.Fleet) map[string]*membership {
-	found := map[string]*membership{}
-	if fleet.Config == nil {
-		return found
-	}
-	for service, runners := range fleet.Runners {
-		s := fleet.Config.Services[service]
-		if s == nil || s.Engine == nil || s.Engine.Layers == 0 {
-			continue
-		}
-		for _, r := range runners {
-			if r.Membership == nil {
-				continue
-			}
-			ms := found[r.Membership.Group]
-			if ms == nil {
-				ms = &membership{engine: s.Engine, epoch: r.Membership.Epoch, zones: map[int]string{}}
-				found[r.Membership.Group] = ms
-			}
-			ms.add(r)
-		}
-	}
-	for _, ms := range found {
-		ms.validate()
-	}
-	return found
-}
-
-// add records a runner as a member of the group.
-func (ms *membership) add(r *chivefleet.Runner) {
-	switch {
-	case r.Membership.Epoch != ms.epoch:
-		ms.incompleteReason = "ranks are of different epochs"
-	case !r.Membership.Open:
-		ms.incompleteReason = "the group is not open"
-	}
-	ms.size = r.Membership.Size
-	ms.zones[r.Membership.Rank] = r.Zone
-	ms.members = append(ms.members, chiverank.Member{ID: r.ID, Address: r.Address, Rank: r.Membership.Rank})
-}
-
-// validate sorts the members by rank and sets incompleteReason unless every rank
-// is present exactly once.
-func (ms *membership) validate() {
-	sort.Slice(ms.members, func(i, j int) bool { return ms.members[i].Rank < ms.members[j].Rank })
-	if len(ms.members) != ms.size {
-		ms.incompleteReason = "ranks are not known"
-		return
-	}
-	for i, m := range ms.members {
-		if m.Rank != i {
-			ms.incompleteReason = "ranks are there twice"
-		}
-	}
-}
-
-// sampledMembers returns the members whose counts are read: up to maxSampledRanks
-// of the zone. If the zone has fewer than minSampledRanks, or allZones is set, it
-// returns members spread evenly over the whole group.
-func (ms *membership) sampledMembers(zone string, allZones bool) []chiverank.Member {
-	var list []chiverank.Member
-	for _, m := range ms.members {
-		if ms.zones[m.Rank] == zone {
-			list = append(list, m)
-		}
-	}
-	if allZones || len(list) < minSampledRanks {
-		list = nil
-		for i := range min(maxSampledRanks, len(ms.members)) {
-			list = append(list, ms.members[i*len(ms.members)/min(maxSampledRanks, len(ms.members))])
-		}
-	}
-	return list[:min(maxSampledRanks, len(list))]
-}
-
 // group holds the state of the leaseholder for one group.
 type group struct {
 	name       string
@@ -185,6 +93,9 @@
 	slowdowns map[int]float64
 	// lastPolled is the rank whose report was read last.
 	lastPolled int
+	// heldPolls counts the polls in a row that found the group held although no change is
+	// in progress.
+	heldPolls int
 	// stepTimes detects that passes have become slower.
 	stepTimes chivelimit.StepTimeDetector
 	// pollAll reports that all ranks are to be polled next, since passes have
@@ -384,6 +295,7 @@
 		readers sync.WaitGroup
 		mu      sync.Mutex
 	)
+	var held []int
 	count := min(ranksPerPoll, len(ms.members))
 	if g.pollAll && time.Since(g.lastFullPoll) > fullPollInterval {
 		count, g.pollAll, g.lastFullPoll = len(ms.members), false, time.Now()
@@ -403,9 +315,13 @@
 				g.balancer.Log.Info("Rank became slow or is no longer slow.", "group", g.name, "rank", m.Rank, "runner", m.ID, "pace", r.Pace)
 			}
 			g.slowdowns[m.Rank] = r.Pace
+			if r.Held >= 0 {
+				held = append(held, m.Rank)
+			}
 		})
 	}
 	readers.Wait()
+	g.checkHeld(held, len(ms.members))
 	slow := map[string]float64{}
 	for _, m := range ms.members {
 		if g.slowdowns[m.Rank] >= slowdownThreshold {
@@ -415,6 +331,20 @@
 	g.balancer.ReportSlow(g.name, slow)
 }
 
+// checkHeld marks the map as unknown, so that loadMap releases the group, when one of the
+// polled ranks keeps holding it: an order to hold that was carried out late. It has the
+// rank polled again next, since its report may be out of date.
+func (g *group) checkHeld(held []int, ranks int) {
+	if len(held) == 0 {
+		g.heldPolls = 0
+		return
+	}
+	g.lastPolled = (held[0] + ranks - 1) % ranks
+	if g.heldPolls++; g.heldPolls > maxPendingReports {
+		g.current, g.heldPolls = nil, 0
+	}
+}
+
 // checkSettled reads the report of rank 0 and reports whether no change is in
 // progress. A change that stays in progress comes from a delayed order of an
 // earlier leaseholder; the map is then marked as unknown, so that loadMap rolls
--- /dev/null
+++ b/internal/run/chivebalance/term_test.go
@@ -0,0 +1,205 @@
+package chivebalance
+
+import (
+	"context"
+	"io"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/chiveyoke/chiveyoke/internal/policy/chivemap"
+	"github.com/chiveyoke/chiveyoke/internal/state/chiveclock"
+	"github.com/chiveyoke/chiveyoke/internal/state/chivelease"
+	"github.com/chiveyoke/chiveyoke/internal/state/chiverank"
+	"github.com/chiveyoke/chiveyoke/internal/state/chiverow"
+)
+
+// newHeldTerm returns a term under an acquired lease whose clock is now.
+func newHeldTerm(t *testing.T, clock chiveclock.Clock, pulse func(bool)) *leaseTerm {
+	t.Helper()
+	k := &chivelease.Keeper{Table: &chiverow.MemoryTable{}, Duty: leaseName, Holder: "a", TTL: leaseTTL}
+	if err := k.Step(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	return newLeaseTerm(k, clock, pulse)
+}
+
+// TestTermAfterSuspension checks that a process that was suspended does not act before it
+// has tried to renew its lease: for longer than a successor waits while a group is held,
+// for longer than a lease is valid otherwise.
+func TestTermAfterSuspension(t *testing.T) {
+	tests := []struct {
+		give    string
+		watched bool
+		sleep   time.Duration
+		want    bool
+	}{
+		{"not suspended", true, 0, true},
+		{"a late pulse", true, pauseLimit, true},
+		{"suspended while a group is held", true, pauseLimit + time.Millisecond, false},
+		{"the same while no group is held", false, pauseLimit + time.Millisecond, true},
+		{"suspended for longer than the lease is valid", false, leaseTTL, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.give, func(t *testing.T) {
+			now := chiveclock.Moment(time.Hour)
+			term := newHeldTerm(t, func() chiveclock.Moment { return now }, nil)
+			if tt.watched {
+				term.pulsedAt.Store(int64(now))
+			}
+			now = now.Add(tt.sleep)
+			if _, held := term.Held(); held != tt.want {
+				t.Fatalf("held is %t, want %t", held, tt.want)
+			}
+			if _, held := term.Held(); held != tt.want {
+				t.Errorf("held is %t when asked again, want %t", held, tt.want)
+			}
+			term.pulsedAt.Store(0)
+			term.checked(now)
+			if _, held := term.Held(); !held {
+				t.Error("lease is not held after it was renewed")
+			}
+		})
+	}
+}
+
+// TestWatchPulses checks that pulses are sent while a group is held, and not by a process
+// that was suspended, before it has renewed its lease.
+func TestWatchPulses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var held, ended, skew atomic.Int64
+		clock := func() chiveclock.Moment {
+			return chiveclock.Moment(time.Now().UnixNano()).Add(time.Duration(skew.Load()))
+		}
+		term := newHeldTerm(t, clock, func(on bool) {
+			if on {
+				held.Add(1)
+			} else {
+				ended.Add(1)
+			}
+		})
+		end := term.watch()
+		time.Sleep(10*pulsePeriod + pulsePeriod/2)
+		if n := held.Load(); n != 11 {
+			t.Errorf("%d pulses in ten periods, want 11", n)
+		}
+		end()
+		if n := ended.Load(); n != endPulses {
+			t.Errorf("%d pulses tell the end, want %d", n, endPulses)
+		}
+		end = term.watch()
+		held.Store(0)
+		ended.Store(0)
+		skew.Store(int64(4 * time.Second))
+		time.Sleep(10 * pulsePeriod)
+		end()
+		if held.Load() != 0 || ended.Load() != 0 {
+			t.Errorf("%d and %d pulses after a suspension, want none", held.Load(), ended.Load())
+		}
+		select {
+		case <-term.suspended:
+		default:
+			t.Error("suspension was not reported")
+		}
+	})
+}
+
+// suspendedEngine is a fakeEngine whose caller is suspended at its first Hold, and which
+// counts the orders after that.
+type suspendedEngine struct {
+	*fakeEngine
+	suspend func()
+	once    sync.Once
+	asleep  atomic.Bool
+	after   atomic.Int64
+}
+
+// Order implements chiverank.Ranks.Order.
+func (e *suspendedEngine) Order(ctx context.Context, m chiverank.Member, o chiverank.Order) error {
+	if o.Op == chiverank.Hold {
+		e.once.Do(func() {
+			e.suspend()
+			e.asleep.Store(true)
+		})
+	}
+	if e.asleep.Load() {
+		e.after.Add(1)
+	}
+	return e.fakeEngine.Order(ctx, m, o)
+}
+
+// TestWokenHolderSendsNoOrders suspends the holder in the middle of a change while another
+// process takes the lease. The order that it was about to send goes out, which ranks judge;
+// no further one may.
+func TestWokenHolderSendsNoOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var skew atomic.Int64
+		table := &chiverow.MemoryTable{}
+		e := &suspendedEngine{fakeEngine: newFakeEngine()}
+		e.suspend = func() {
+			skew.Add(int64(4 * time.Second))
+			successor := &chivelease.Keeper{Table: table, Duty: leaseName, Holder: "b/1", TTL: leaseTTL, HasEnded: func(string) bool { return true }}
+			if err := successor.Step(t.Context()); err != nil {
+				t.Error(err)
+			}
+		}
+		b := &Balancer{
+			Engine: e, Table: table, Name: "a/1", Zone: "a", Fleet: testFleet, Candidate: func() bool { return true },
+			HasEnded: func(string) bool { return false }, Log: log.New(io.Discard), ReportSlow: func(string, map[string]float64) {},
+			Clock: func() chiveclock.Moment {
+				return chiveclock.Moment(time.Now().UnixNano()).Add(time.Duration(skew.Load()))
+			},
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		running.Go(func() { e.run(ctx) })
+		running.Go(func() { _ = b.Run(ctx) })
+		time.Sleep(8 * time.Second)
+		if !e.asleep.Load() {
+			t.Error("holder was never suspended")
+		}
+		if n := e.after.Load(); n != 1 {
+			t.Errorf("%d orders left the woken holder, want the one that was on its way", n)
+		}
+		if b.HoldsDuty() {
+			t.Error("woken holder still holds the duty")
+		}
+		cancel()
+		running.Wait()
+	})
+}
+
+// TestHeldByALateOrder checks that a rank which a late order made hold the group is polled
+// again, and that the ranks are then read and released, but not because of a report that
+// is out of date.
+func TestHeldByALateOrder(t *testing.T) {
+	const ranks = 6
+	tests := []struct {
+		give string
+		// held lists the ranks that a poll finds holding the group.
+		held [][]int
+		want bool
+	}{
+		{"report is out of date", [][]int{{3}, {3}, nil, {3}, {3}}, false},
+		{"hold stays", [][]int{{3}, {3}, {3}}, true},
+		{"hold of the first rank stays", [][]int{{0}, {0}, {0}}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.give, func(t *testing.T) {
+			g := &group{lastPolled: 4, current: &chivemap.Map{}}
+			for _, held := range tt.held {
+				g.checkHeld(held, ranks)
+				if next := (g.lastPolled + 1) % ranks; len(held) > 0 && next != held[0] {
+					t.Errorf("rank %d is polled next, want %d", next, held[0])
+				}
+			}
+			if got := g.current == nil; got != tt.want {
+				t.Errorf("map is unknown: %t, want %t", got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/state/chiverank/switcher.go
+++ b/internal/state/chiverank/switcher.go
@@ -78,6 +78,10 @@
 	// OnTakeover is called when the change of an earlier leaseholder was completed or
 	// rolled back. It may be nil.
 	OnTakeover func(Takeover)
+
+	// released holds the ranks whose holds the last rollback released. A Go of the change
+	// that was rolled back may still arrive there.
+	released []Member
 }
 
 // watch calls Watch.
@@ -106,6 +110,11 @@
 // rank cannot be armed, the change is rolled back and the error returned.
 func (s *Switcher) Switch(ctx context.Context, members []Member, epoch int64, layout [][][]int, copyTime, passTime time.Duration) (version int64, err error) {
 	token, err := s.nextToken()
+	for range s.released {
+		if err == nil && slices.Contains(s.released, roundHolder(members, token, nil)) {
+			token, err = s.nextToken()
+		}
+	}
 	if err != nil {
 		return 0, err
 	}
@@ -234,6 +243,7 @@
 			holders = append(holders, members[i])
 		}
 	}
+	s.released = holders
 	// The pass must be the next one: before a later one, the group could begin the
 	// pass of a change that is being rolled back.
 	holder := roundHolder(members, token, holders)
--- /dev/null
+++ b/internal/state/chiverank/takeover_test.go
@@ -0,0 +1,355 @@
+package chiverank
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+const (
+	// noticeTime is the time from the suspension of a holder until its successor has the
+	// lease, slowNoticeTime that without pulses.
+	noticeTime     = 200 * time.Millisecond
+	slowNoticeTime = 750 * time.Millisecond
+	// maxStandstill is the longest time for which callers accept that a group stands
+	// because of one VM.
+	maxStandstill = 500 * time.Millisecond
+	passPeriod    = 40 * time.Millisecond
+	// ordersOfSwitch is the number of orders of a change of five ranks.
+	ordersOfSwitch = 12
+)
+
+// frozenRanks implements Ranks for a process that is suspended at its order number at.
+type frozenRanks struct {
+	*fakeGroup
+	mu     sync.Mutex
+	at     int
+	orders int
+	frozen chan struct{}
+	woken  chan struct{}
+}
+
+func newFrozenRanks(g *fakeGroup, at int) *frozenRanks {
+	return &frozenRanks{fakeGroup: g, at: at, frozen: make(chan struct{}), woken: make(chan struct{})}
+}
+
+// wait returns once the process runs.
+func (f *frozenRanks) wait() {
+	select {
+	case <-f.frozen:
+		<-f.woken
+	default:
+	}
+}
+
+// Order implements Ranks.Order.
+func (f *frozenRanks) Order(ctx context.Context, m Member, o Order) error {
+	f.mu.Lock()
+	if f.orders++; f.orders == f.at {
+		close(f.frozen)
+	}
+	f.mu.Unlock()
+	f.wait()
+	err := f.fakeGroup.Order(ctx, m, o)
+	f.wait()
+	return err
+}
+
+// Report implements Ranks.Report.
+func (f *frozenRanks) Report(ctx context.Context, m Member) (Report, error) {
+	f.wait()
+	return f.fakeGroup.Report(ctx, m)
+}
+
+// takeover brings one holder about that is suspended in a change.
+type takeover struct {
+	// at is the order before which the holder is suspended, 1 for the first.
+	at int
+	// sleep is how long it is suspended, notice how long until successors act.
+	sleep, notice time.Duration
+	successors    int
+	recover       func(ctx context.Context, s *Switcher, members []Member) error
+}
+
+// play returns the longest time without a pass from the suspension on.
+func (o takeover) play(ctx context.Context, g *fakeGroup) time.Duration {
+	list := members(len(g.ranks))
+	ranks := newFrozenRanks(g, o.at)
+	holder, _ := newSwitcher(g, 1)
+	holder.Ranks = ranks
+	var running sync.WaitGroup
+	running.Go(func() { _, _ = holder.Switch(ctx, list, 1, nil, 50*time.Millisecond, 0) })
+	<-ranks.frozen
+	standstill := g.watchPasses(ctx, 8*time.Second)
+	running.Go(func() {
+		time.Sleep(o.sleep)
+		close(ranks.woken)
+	})
+	for i := range o.successors {
+		running.Go(func() {
+			time.Sleep(o.notice + time.Duration(i)*100*time.Millisecond)
+			s, _ := newSwitcher(g, uint64(2+i))
+			for range 60 {
+				if o.recover(ctx, s, list) == nil {
+					return
+				}
+				time.Sleep(150 * time.Millisecond)
+			}
+		})
+	}
+	running.Wait()
+	return <-standstill
+}
+
+// watchPasses measures the longest time between two passes.
+func (g *fakeGroup) watchPasses(ctx context.Context, d time.Duration) <-chan time.Duration {
+	result := make(chan time.Duration, 1)
+	go func() {
+		var longest time.Duration
+		begun, last := time.Now(), time.Now()
+		pass := int64(-1)
+		for ctx.Err() == nil && time.Since(begun) < d {
+			g.mu.Lock()
+			if g.pass != pass {
+				pass, last = g.pass, time.Now()
+			}
+			g.mu.Unlock()
+			longest = max(longest, time.Since(last))
+			time.Sleep(5 * time.Millisecond)
+		}
+		result <- longest
+	}()
+	return result
+}
+
+// recoverGroup calls Recover until the group is settled.
+func recoverGroup(ctx context.Context, s *Switcher, members []Member) error {
+	settled, _, err := s.Recover(ctx, members)
+	if err == nil && !settled {
+		return Error.New("group is not settled")
+	}
+	return err
+}
+
+// rollBackGroup is a twin of Recover that always rolls back.
+func rollBackGroup(ctx context.Context, s *Switcher, members []Member) error {
+	reports, open, err := s.readGroup(ctx, members)
+	if err != nil || !open || settledOrArmed(reports) {
+		return err
+	}
+	return s.rollback(ctx, members, reports)
+}
+
+// completeUnchecked is a twin of Recover that completes any change that a rank has
+// prepared.
+func completeUnchecked(ctx context.Context, s *Switcher, members []Member) error {
+	reports, open, err := s.readGroup(ctx, members)
+	if err != nil || !open {
+		return err
+	}
+	u := unfinished{version: reports[0].Prepared, pass: reports[0].Pass + leadPasses, holder: members[0]}
+	for i, r := range reports {
+		if r.Held >= 0 {
+			u.pass, u.holder = r.Held, members[i]
+		}
+	}
+	token, err := s.nextToken()
+	if err != nil {
+		return err
+	}
+	o := Order{Op: Arm, Token: token, Epoch: reports[0].Epoch, Version: u.version, Pass: u.pass}
+	_ = s.orderAll(ctx, members, o, orderTimeout)
+	o.Op = Go
+	_ = s.orderUntilConfirmed(ctx, u.holder, o, confirmTimeout)
+	return nil
+}
+
+// TestTakeover suspends a holder before each order of a change and lets it go on at a
+// random time, not knowing of its successors. The load: all streams of a group stand
+// while it is held. The group must go on in maxStandstill, and no pass may begin with two
+// maps, also when orders are lost, late or doubled, tokens are not checked and two
+// successors act at once.
+func TestTakeover(t *testing.T) {
+	tests := []struct {
+		give       string
+		lossRate   float64
+		doubleRate float64
+		successors int
+	}{
+		{"one successor", 0, 0, 1},
+		{"two successors", 0, 0, 2},
+		{"orders are doubled", 0, 0.5, 1},
+		{"orders are lost, late and doubled, two successors", 0.2, 0.3, 2},
+	}
+	for _, tt := range tests {
+		for _, unfenced := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, unfenced %t", tt.give, unfenced), func(t *testing.T) {
+				for at := 1; at <= ordersOfSwitch; at++ {
+					for seed := range uint64(6) {
+						o := takeover{at: at, notice: noticeTime, successors: tt.successors, recover: recoverGroup}
+						r := playTakeover(t, o, seed, tt.lossRate, tt.doubleRate, unfenced, false)
+						if tt.lossRate == 0 && r.standstill > maxStandstill {
+							t.Errorf("order %d, seed %d: group stood for %v", at, seed, r.standstill)
+						}
+						if !r.advances {
+							t.Errorf("order %d, seed %d: group does not advance afterwards", at, seed)
+						}
+					}
+				}
+			})
+		}
+	}
+}
+
+type takeoverResult struct {
+	standstill time.Duration
+	advances   bool
+	mixed      int
+}
+
+func playTakeover(t *testing.T, o takeover, seed uint64, lossRate, doubleRate float64, unfenced, mayMix bool) (r takeoverResult) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		g := newFakeGroup(t, seed, 5, lossRate)
+		g.doubleRate, g.unfenced, g.mayMix = doubleRate, unfenced, mayMix
+		draw := rand.New(rand.NewPCG(seed, 3))
+		o.sleep = time.Duration(draw.Int64N(int64(1500 * time.Millisecond)))
+		if seed%2 == 0 {
+			o.sleep += 2 * time.Second
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		running.Go(func() { g.run(ctx, passPeriod) })
+		r.standstill = o.play(ctx, g)
+		// Late orders may hold the group again.
+		time.Sleep(15 * time.Second)
+		s, _ := newSwitcher(g, 9)
+		for range 60 {
+			if o.recover(ctx, s, members(5)) == nil {
+				break
+			}
+			time.Sleep(150 * time.Millisecond)
+		}
+		g.mu.Lock()
+		before := g.pass
+		g.mu.Unlock()
+		time.Sleep(time.Second)
+		g.mu.Lock()
+		r.advances, r.mixed = g.pass > before, g.mixed
+		g.mu.Unlock()
+		cancel()
+		running.Wait()
+	})
+	return r
+}
+
+// TestTakeoverTwins shows what TestTakeover guards against: a group stands too long if its
+// successor waits for the timeout of a peer and rolls back, and passes begin with two maps
+// if it completes changes without a check.
+func TestTakeoverTwins(t *testing.T) {
+	var longest time.Duration
+	mixed := 0
+	for at := 1; at <= ordersOfSwitch; at++ {
+		for seed := range uint64(6) {
+			slow := takeover{at: at, notice: slowNoticeTime, successors: 1, recover: rollBackGroup}
+			longest = max(longest, playTakeover(t, slow, seed, 0, 0, true, false).standstill)
+			unchecked := takeover{at: at, notice: noticeTime, successors: 1, recover: completeUnchecked}
+			mixed += playTakeover(t, unchecked, seed, 0, 0, true, true).mixed
+		}
+	}
+	if longest <= maxStandstill {
+		t.Errorf("group stood for %v with a slow rollback, want more than %v", longest, maxStandstill)
+	}
+	if mixed == 0 {
+		t.Error("no pass began with two maps although changes were completed without a check")
+	}
+}
+
+// TestFindUnfinished checks which reports show a change that can be completed.
+func TestFindUnfinished(t *testing.T) {
+	const version = int64(1)<<tokenSeqBits | 2
+	list := members(4)
+	holder := roundHolder(list, version, nil).Rank
+	other := (holder + 1) % len(list)
+	tests := []struct {
+		give   string
+		change func(reports []*Report)
+		want   bool
+	}{
+		{"prepared and held", func([]*Report) {}, true},
+		{"some are armed", func(r []*Report) { r[1].Armed = version }, true},
+		{"not held", func(r []*Report) { r[holder].Held = -1 }, false},
+		{"held by another rank as well", func(r []*Report) { r[other].Held = 7 }, false},
+		{"held by another rank only", func(r []*Report) { r[holder].Held, r[other].Held = -1, 7 }, false},
+		{"one is not prepared", func(r []*Report) { r[2].Prepared = version - 1 }, false},
+		{"one is armed for another version", func(r []*Report) { r[2].Armed = version - 1 }, false},
+		{"already in use", func(r []*Report) {
+			for i := range r {
+				r[i].Map = version
+			}
+		}, false},
+		{"maps differ", func(r []*Report) { r[2].Map = 5 }, false},
+		{"nothing prepared", func(r []*Report) {
+			for i := range r {
+				r[i].Prepared = 0
+			}
+		}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.give, func(t *testing.T) {
+			reports := make([]*Report, len(list))
+			for i := range reports {
+				reports[i] = &Report{Epoch: 1, Rank: i, Open: true, Pass: 6, Prepared: version, Held: -1}
+			}
+			reports[holder].Held = 7
+			tt.change(reports)
+			u, got := findUnfinished(list, reports)
+			if got != tt.want || got && (u.version != version || u.pass != 7 || u.holder.Rank != holder) {
+				t.Errorf("got %+v, %t, want %t", u, got, tt.want)
+			}
+		})
+	}
+}
+
+// holdRecorder implements Ranks and records the ranks that hold the group.
+type holdRecorder struct {
+	*fakeGroup
+	held []int
+}
+
+// Order implements Ranks.Order.
+func (h *holdRecorder) Order(ctx context.Context, m Member, o Order) error {
+	if o.Op == Hold {
+		h.held = append(h.held, m.Rank)
+	}
+	return h.fakeGroup.Order(ctx, m, o)
+}
+
+// TestLateGoAfterRollback guards against a Go of a change that was rolled back, which
+// arrives while the next change holds the same idle group before the same pass: that
+// change must hold it by another rank.
+func TestLateGoAfterRollback(t *testing.T) {
+	for held := range 5 {
+		synctest.Test(t, func(t *testing.T) {
+			g := newFakeGroup(t, 1, 5, 0)
+			g.ranks[held].heldPass = 1
+			h := &holdRecorder{fakeGroup: g}
+			s, _ := newSwitcher(g, 2)
+			s.Ranks = h
+			if _, _, err := s.Recover(context.Background(), members(5)); err != nil {
+				t.Fatal(err)
+			}
+			h.held = nil
+			if _, err := s.Switch(context.Background(), members(5), 1, nil, 0, slowPassTime); err != nil {
+				t.Fatal(err)
+			}
+			if len(h.held) != 1 || h.held[0] == held {
+				t.Errorf("change holds the group by ranks %v, want one other than %d", h.held, held)
+			}
+		})
+	}
+}
