Hold the group late enough for a takeover: lead of 200 ms, pulses each 30 ms

A group that was held two passes ahead stood for 0.1 s before the successor of a suspended holder had completed the change.

--- a/internal/run/chivebalance/term.go
+++ b/internal/run/chivebalance/term.go
@@ -12,7 +12,7 @@
 const (
 	// pulsePeriod is the time between two pulses to the successors of the holder while a
 	// group is held.
-	pulsePeriod = 40 * time.Millisecond
+	pulsePeriod = 30 * time.Millisecond
 	// pauseLimit is the time between two pulses above which the process counts as
 	// suspended: successors notice the silence and take over a little later.
 	pauseLimit = 150 * time.Millisecond
--- a/internal/run/chivemesh/pulse.go
+++ b/internal/run/chivemesh/pulse.go
@@ -17,7 +17,7 @@
 	// the holder of the map duty for suspended: three missed pulses and a margin for the
 	// network. turnDelay is added for the second successor, which must not act unless the
 	// first has failed, too.
-	silenceTimeout = 150 * time.Millisecond
+	silenceTimeout = 110 * time.Millisecond
 	turnDelay      = 100 * time.Millisecond
 	// silenceCheckGap is the time between two checks above which the successor itself may
 	// have been suspended, so that its wait starts again.
--- a/internal/run/chivemesh/pulse_test.go
+++ b/internal/run/chivemesh/pulse_test.go
@@ -14,10 +14,10 @@
 )
 
 const (
-	testPulsePeriod = 40 * time.Millisecond
+	testPulsePeriod = 30 * time.Millisecond
 	testCheckPeriod = 15 * time.Millisecond
 	// maxNotice is the longest time in which the silence of a holder must be noticed.
-	maxNotice = 250 * time.Millisecond
+	maxNotice = 200 * time.Millisecond
 )
 
 // TestHolderWatch checks when a successor finds the holder silent: a holder that falls
--- a/internal/state/chiverank/switcher.go
+++ b/internal/state/chiverank/switcher.go
@@ -30,14 +30,15 @@
 	prepareTimeout = 8 * time.Second
 	// reportInterval is the pause between two polls of ranks that are copying.
 	reportInterval = 25 * time.Millisecond
-	// leadPasses is the number of passes between the last reported pass and the one at
-	// which the map changes, slowLeadPasses that number if a pass takes at least
-	// slowPassTime, which is enough to arm all ranks. It is doubled up to leadDoublings
-	// times while the hold arrives after that pass has begun.
-	leadPasses     = 2
-	slowLeadPasses = 1
-	slowPassTime   = 150 * time.Millisecond
-	leadDoublings  = 5
+	// leadTime is the least time between a report and the pass at which the map changes: a
+	// successor takes over from a suspended switcher in this time, so that the group does
+	// not stand meanwhile. leadPasses is the number of passes if their duration is
+	// unknown, maxLeadPasses bounds it. It is doubled up to leadDoublings times while the
+	// hold arrives after that pass has begun.
+	leadTime      = 200 * time.Millisecond
+	leadPasses    = 2
+	maxLeadPasses = 5
+	leadDoublings = 5
 	// confirmTimeout bounds the attempts until a rank confirms an order other than
 	// Prepare. If a rank does not confirm Arm, the change is rolled back.
 	confirmTimeout = 6 * time.Second
@@ -130,11 +131,7 @@
 	defer s.watch()()
 	order.Map = nil
 	holder := roundHolder(members, token, nil)
-	lead := int64(leadPasses)
-	if passTime >= slowPassTime {
-		lead = slowLeadPasses
-	}
-	pass, err = s.holdAhead(ctx, holder, order, pass, lead)
+	pass, err = s.holdAhead(ctx, holder, order, pass, leadFor(passTime))
 	if err != nil {
 		return 0, err
 	}
@@ -151,6 +148,15 @@
 	return token, nil
 }
 
+// leadFor returns the number of passes from a report to the change for a duration of
+// passes, 0 if unknown.
+func leadFor(passTime time.Duration) int64 {
+	if passTime <= 0 {
+		return leadPasses
+	}
+	return int64(min(maxLeadPasses, (leadTime+passTime-1)/passTime))
+}
+
 // roundHolder returns the rank that holds the group in the round of a token.
 // Successive tokens have different ranks. It avoids the given ranks if the group
 // has others.
--- a/internal/state/chiverank/takeover_test.go
+++ b/internal/state/chiverank/takeover_test.go
@@ -344,7 +344,7 @@
 				t.Fatal(err)
 			}
 			h.held = nil
-			if _, err := s.Switch(context.Background(), members(5), 1, nil, 0, slowPassTime); err != nil {
+			if _, err := s.Switch(context.Background(), members(5), 1, nil, 0, leadTime); err != nil {
 				t.Fatal(err)
 			}
 			if len(h.held) != 1 || h.held[0] == held {
