--- a/internal/run/chivemesh/pulse.go
+++ b/internal/run/chivemesh/pulse.go
@@ -102,15 +102,19 @@
 // Pulse tells the successors of this entry VM that it holds a group, or no longer does.
 // The successors stay the same until then.
 func (m *Mesh) Pulse(held bool) {
-	for _, o := range m.pulsePackets(held) {
+	m.mu.Lock()
+	conn, first := m.conn, held && !m.pulsing
+	m.mu.Unlock()
+	var peers []Peer
+	if first {
+		peers = m.Peers()
+	}
+	for _, o := range m.pulsePackets(held, peers) {
 		data, err := cbor.Marshal(&o.packet)
 		if err != nil {
 			m.Log.Error("Packet cannot be encoded.", "error", err)
 			return
 		}
-		m.mu.Lock()
-		conn := m.conn
-		m.mu.Unlock()
 		if conn == nil {
 			return
 		}
@@ -120,14 +124,13 @@
 	}
 }
 
-// pulsePackets returns the pulses to the successors. It names the successors if there
-// are none yet, and forgets them with the last pulse.
-func (m *Mesh) pulsePackets(held bool) []outgoingPacket {
-	peers := m.Peers()
+// pulsePackets returns the pulses to the successors, which are chosen from peers if no
+// pulse was sent since the last release of a group.
+func (m *Mesh) pulsePackets(held bool, peers []Peer) []outgoingPacket {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.Clock.Now()
-	if held != m.pulsing && held {
+	if held && !m.pulsing {
 		m.successors = findSuccessors(peers, m.Self.Zone, now)
 	}
 	m.pulsing = held
@@ -135,11 +138,13 @@
 	for turn, p := range m.successors {
 		addr, err := net.ResolveUDPAddr("udp4", p.Entry.MeshAddr)
 		if err != nil {
+			m.Log.Warn("Mesh address cannot be resolved.", "peer", p.Entry.Name, "error", err)
 			continue
 		}
-		// Pulses that are sent together are in order, too.
+		// Pulses that are sent in the same instant are in order, too.
 		m.lastPulseAt = max(m.lastPulseAt+1, now)
-		list = append(list, outgoingPacket{to: addr, packet: Packet{Pulse: &Pulse{From: m.Self.Name, Boot: m.Self.Boot, SentAt: m.lastPulseAt, Turn: turn, Ended: !held}}})
+		pulse := &Pulse{From: m.Self.Name, Boot: m.Self.Boot, SentAt: m.lastPulseAt, Turn: turn, Ended: !held}
+		list = append(list, outgoingPacket{to: addr, packet: Packet{Pulse: pulse}})
 	}
 	return list
 }
--- a/internal/run/chivemesh/pulse_test.go
+++ b/internal/run/chivemesh/pulse_test.go
@@ -181,9 +181,9 @@
 	for _, n := range m.neighbours {
 		n.alive, n.StoreAnsweredAt = true, m.Clock.Now()
 	}
-	first := m.pulsePackets(true)
+	first := m.pulsePackets(true, m.Peers())
 	m.neighbours["e1"].Leaving = true
-	second, last := m.pulsePackets(true), m.pulsePackets(false)
+	second, last := m.pulsePackets(true, m.Peers()), m.pulsePackets(false, nil)
 	for _, list := range [][]outgoingPacket{first, second, last} {
 		if len(list) != successorCount || list[0].to.Port != 1001 || list[1].to.Port != 1002 {
 			t.Fatalf("pulses go to %v, want e1 and e2", list)
--- a/internal/state/chiverank/takeover.go
+++ b/internal/state/chiverank/takeover.go
@@ -17,9 +17,9 @@
 
 // findUnfinished returns the change that reports show, and whether it can be completed.
 // That needs all ranks to have the version prepared, and no other to be armed, and the
-// group to be held by the rank of the round of this version alone: this rank is told to
-// hold before one pass only, so that its hold names the pass with which a late Arm of
-// the version comes. Any other hold is part of a rollback.
+// group to be held by the rank of the round of this version alone. Arm is sent only once
+// this rank has confirmed its hold, so that the hold names the pass with which a late Arm
+// of the version comes. Any other hold is part of a rollback.
 func findUnfinished(members []Member, reports []*Report) (unfinished, bool) {
 	version := reports[0].Prepared
 	if version == 0 {
@@ -45,7 +45,8 @@
 // are those that the earlier leaseholder sent or would have sent, so that its late and
 // repeated ones do no harm, nor does it do harm that several successors complete the
 // same change. A rank refuses to be armed if the change was rolled back meanwhile or its
-// pass has begun; the group is then not released.
+// pass has begun; the group is then not released. A rollback that begins meanwhile has a
+// hold of its own until all ranks have a newer version prepared.
 func (s *Switcher) complete(ctx context.Context, members []Member, epoch int64, u unfinished) error {
 	token, err := s.nextToken()
 	if err != nil {
