--- a/internal/bench/chivemodel/group.go
+++ b/internal/bench/chivemodel/group.go
@@ -85,7 +85,8 @@
 	// Tolerance is the tolerance of the map planner.
 	Tolerance float64
 	// Headroom lets the tolerance and the least gain of a change follow the headroom that
-	// passes leave below MaxPause, in place of Tolerance.
+	// passes leave below MaxPause, in place of Tolerance, and postpones changes whose copies
+	// would break pauses.
 	Headroom bool
 	// DetectionDelay is the time from a shift of popularity until the planner
 	// responds to it.
@@ -112,6 +113,9 @@
 	return (float64(o.OnTime) + float64(o.Late)/2) / float64(max(1, o.Requests))
 }
 
+// passTimeDecay is the factor by which a long pass counts less with each later one.
+const passTimeDecay = 0.8
+
 // request is a request that runs or waits at a rank.
 type request struct {
 	arrivedAt time.Duration
@@ -142,7 +146,7 @@
 	// while no change is in progress.
 	switchAt time.Duration
 	nextMap  *chivemap.Map
-	// passTime is the duration of the last pass.
+	// passTime is the duration of the longest recent pass.
 	passTime time.Duration
 	// planAfter is the time before which no map is planned.
 	planAfter      time.Duration
@@ -256,6 +260,10 @@
 	if next == nil || next.StepSkew(r.expertLoads) > (1-thresholds.MinGain)*r.currentMap.StepSkew(r.expertLoads) {
 		return
 	}
+	gain := 1 - next.StepSkew(r.expertLoads)/r.currentMap.StepSkew(r.expertLoads)
+	if r.policy.Headroom && chivemap.Postpone(r.passTime, r.load.MaxPause, gain) {
+		return
+	}
 	maxCopies := 0
 	for k := range r.group.Ranks {
 		maxCopies = max(maxCopies, r.missingExperts(next, k))
@@ -297,8 +305,9 @@
 	if r.nextMap != nil {
 		duration *= 1 + r.group.CopySlowdown
 	}
-	r.passTime = time.Duration(duration)
-	r.now += r.passTime
+	pass := time.Duration(duration)
+	r.passTime = max(pass, time.Duration(passTimeDecay*float64(r.passTime)))
+	r.now += pass
 	for k := range r.queues {
 		r.advance(k)
 	}
--- a/internal/policy/chivelimit/limiter.go
+++ b/internal/policy/chivelimit/limiter.go
@@ -24,6 +24,9 @@
 	minDecreaseFactor = 0.75
 	// maxIncrease bounds an increase per interval, in requests.
 	maxIncrease = 0.7
+	// recentPauseDecay is the factor by which the pauses of an interval count less in the
+	// recent pause with each later one.
+	recentPauseDecay = 0.8
 	// minLimit is the lowest limit of a runner, in requests.
 	minLimit = 3
 )
@@ -36,6 +39,14 @@
 type ConcurrencyLimiter struct {
 	pauses []time.Duration
 	limit  float64
+	// recentPause is the pauseQuantile of the last interval, or of an earlier one that was
+	// much longer; 0 if the last interval had too few samples.
+	recentPause time.Duration
+}
+
+// RecentPause returns a high quantile of the recent pauses, or 0 if there were too few.
+func (l *ConcurrencyLimiter) RecentPause() time.Duration {
+	return l.recentPause
 }
 
 // AddPause records the pause between two events of a stream. Once an interval
@@ -64,12 +75,18 @@
 func (l *ConcurrencyLimiter) EndInterval(maxPause, idlePause time.Duration, running float64, slots int) {
 	defer func() { l.pauses = l.pauses[:0] }()
 	current := l.Limit(slots)
-	if len(l.pauses) < minSamples || maxPause <= idlePause {
+	if len(l.pauses) < minSamples {
+		l.recentPause = 0
 		l.limit = min(current+maxIncrease, float64(slots))
 		return
 	}
 	sort.Slice(l.pauses, func(i, j int) bool { return l.pauses[i] < l.pauses[j] })
 	pause := l.pauses[int(pauseQuantile*float64(len(l.pauses)))]
+	l.recentPause = max(pause, time.Duration(recentPauseDecay*float64(l.recentPause)))
+	if maxPause <= idlePause {
+		l.limit = min(current+maxIncrease, float64(slots))
+		return
+	}
 	target := time.Duration(targetFraction * float64(maxPause))
 	estimate := float64(slots)
 	if pause > idlePause && running > 0 {
--- a/internal/policy/chivemap/thresholds.go
+++ b/internal/policy/chivemap/thresholds.go
@@ -39,3 +39,20 @@
 		MinGain:   mix(relaxedThresholds.MinGain, tightThresholds.MinGain),
 	}
 }
+
+const (
+	// copySlowdown is the relative increase of the duration of passes while ranks copy
+	// experts.
+	copySlowdown = 0.15
+	// urgentGain is the gain from which a change is made though its copies break pauses once:
+	// a map that fits so badly soon breaks them for longer.
+	urgentGain = 0.3
+)
+
+// Postpone reports whether a change that saves the fraction gain of the step time should wait:
+// passes of passTime keep pauses below maxPause, and would not while experts are copied. Each
+// stream that runs would be late.
+func Postpone(passTime, maxPause time.Duration, gain float64) bool {
+	slowed := time.Duration((1 + copySlowdown) * float64(passTime))
+	return gain < urgentGain && passTime < maxPause && slowed >= maxPause
+}
--- a/internal/policy/chivemap/thresholds_test.go
+++ b/internal/policy/chivemap/thresholds_test.go
@@ -34,3 +34,28 @@
 		last = got
 	}
 }
+
+// TestPostpone checks which changes wait until their copies break no pauses.
+func TestPostpone(t *testing.T) {
+	const maxPause = 120 * time.Millisecond
+	tests := []struct {
+		give     string
+		passTime time.Duration
+		gain     float64
+		want     bool
+	}{
+		{"headroom for copies", 90 * time.Millisecond, 0.1, false},
+		{"copies break pauses", 110 * time.Millisecond, 0.1, true},
+		{"copies break pauses, but the map fits badly", 110 * time.Millisecond, 0.5, false},
+		{"pauses are broken already", 130 * time.Millisecond, 0.1, false},
+		{"unknown pass", 0, 0.1, false},
+	}
+	for _, tt := range tests {
+		if got := Postpone(tt.passTime, maxPause, tt.gain); got != tt.want {
+			t.Errorf("%s: postponed is %v, want %v", tt.give, got, tt.want)
+		}
+	}
+	if Postpone(time.Second, 0, 0.1) {
+		t.Error("a change is postponed though no pause target is known")
+	}
+}
--- a/internal/run/chivebalance/balancer.go
+++ b/internal/run/chivebalance/balancer.go
@@ -66,6 +66,9 @@
 	// ID, in every round in which slowdowns are read.
 	ReportSlow func(group string, slowdowns map[string]float64)
 	Log        *log.Logger
+	// RecentPause returns a high quantile of the recent pauses between events of a service's
+	// streams, or 0 if it is not known; nil means that it never is.
+	RecentPause func(service string) time.Duration
 	// Clock is the clock of the VM.
 	Clock chiveclock.Clock
 
--- a/internal/run/chivebalance/group.go
+++ b/internal/run/chivebalance/group.go
@@ -177,7 +177,8 @@
 
 // improveMap changes the map if the gain under the forecast demand is worth its cost.
 func (g *group) improveMap(ctx context.Context, ms *membership, forecast chivemap.Loads) {
-	thresholds := chivemap.ThresholdsFor(g.stepTimes.MeanStepTime(), ms.maxPause)
+	passTime := g.passTime(ms)
+	thresholds := chivemap.ThresholdsFor(passTime, ms.maxPause)
 	planner := chivemap.Planner{
 		Tolerance: thresholds.Tolerance, MaxNewExperts: min(maxNewExperts, ms.engine.MaxNewExperts), MaxCopies: maxCopies(ms.engine.ExpertCopyTime, g.stepTimes.StepTime()), Horizon: gainHorizonPasses, MoveCost: moveCostPasses,
 		Slowdowns: g.rankSlowdowns(len(ms.members)),
@@ -190,9 +191,24 @@
 	if after > before*(1-thresholds.MinGain) && planner.MisplacedExperts(next) >= planner.MisplacedExperts(g.current) {
 		return
 	}
+	if chivemap.Postpone(passTime, ms.maxPause, 1-after/before) {
+		g.balancer.Log.Debug("Change of the expert map waits, copies would break pauses.", "group", g.name, "pass", passTime, "skew", before, "forecast", after)
+		return
+	}
 	g.applyMap(ctx, ms, next, before, after)
 }
 
+// passTime returns the duration of recent passes: the pauses of streams through this entry VM,
+// which include the longest passes, or else the mean time between the passes of rank 0.
+func (g *group) passTime(ms *membership) time.Duration {
+	if g.balancer.RecentPause != nil {
+		if p := g.balancer.RecentPause(ms.service); p > 0 {
+			return p
+		}
+	}
+	return g.stepTimes.MeanStepTime()
+}
+
 // loadMap rolls back a change that an earlier leaseholder left unfinished. Once
 // the group is settled, it reads the experts that the ranks hold.
 func (g *group) loadMap(ctx context.Context, ms *membership) {
--- a/internal/run/chivebalance/membership.go
+++ b/internal/run/chivebalance/membership.go
@@ -10,9 +10,10 @@
 
 // membership lists the members of a group as registered by their runners.
 type membership struct {
-	epoch  int64
-	size   int
-	engine *chivefleet.Engine
+	service string
+	epoch   int64
+	size    int
+	engine  *chivefleet.Engine
 	// maxPause is the shortest pause target of the routes of the service, 0 if none has one.
 	maxPause time.Duration
 	members  []chiverank.Member
@@ -41,7 +42,7 @@
 			}
 			ms := found[r.Membership.Group]
 			if ms == nil {
-				ms = &membership{engine: s.Engine, maxPause: fleet.Config.PauseTarget(service), epoch: r.Membership.Epoch, zones: map[int]string{}}
+				ms = &membership{service: service, engine: s.Engine, maxPause: fleet.Config.PauseTarget(service), epoch: r.Membership.Epoch, zones: map[int]string{}}
 				found[r.Membership.Group] = ms
 			}
 			ms.add(r)
--- a/internal/run/chiveentry/daemon.go
+++ b/internal/run/chiveentry/daemon.go
@@ -178,7 +178,7 @@
 		Zone: settings.Entry.Zone, Fleet: d.tracker.Fleet, Candidate: d.dutyCandidate, HasEnded: d.processEnded,
 		ReportSlow: func(g string, slow map[string]float64) { runners.SetSlowRunners(chiverelay.LocalSource(g), slow) }, Log: d.log.WithPrefix("maps"),
 		Watching: func() bool { return d.mesh.WatchesHolder() }, Pulse: func(held bool) { d.mesh.Pulse(held) },
-		OnHold: d.recordHold, OnTakeover: d.recordTakeover,
+		OnHold: d.recordHold, OnTakeover: d.recordTakeover, RecentPause: runners.RecentPause,
 	}
 	d.source = &chivehub.Source{
 		Store: deps.Store, Replicas: chivehub.NewClient(), Zone: zoneView{d}, LivenessTable: settings.Tables.Operators,
--- a/internal/run/chiverelay/attempt.go
+++ b/internal/run/chiverelay/attempt.go
@@ -250,7 +250,9 @@
 func (x *exchange) recordPause() {
 	now := chiveclock.Now()
 	if x.responseStarted && x.route.PauseTarget > 0 {
-		x.relay.State.RecordPause(x.service.Name, now.Sub(x.lastEventTime), x.route.PauseTarget)
+		pause := now.Sub(x.lastEventTime)
+		x.longestPause = max(x.longestPause, pause)
+		x.relay.State.RecordPause(x.service.Name, pause, x.route.PauseTarget)
 	}
 	x.lastEventTime = now
 }
--- a/internal/run/chiverelay/relay.go
+++ b/internal/run/chiverelay/relay.go
@@ -135,6 +135,8 @@
 	lastEvent       int64
 	// lastEventTime is when the last event arrived.
 	lastEventTime chiveclock.Moment
+	// longestPause is the longest pause between two events of a stream with a pause target.
+	longestPause time.Duration
 	// unavailable reports whether no runner or no configuration is known.
 	unavailable bool
 	// groupClosed reports whether the last reservation failed because no group of ranks
@@ -392,7 +394,7 @@
 	}
 	x.relay.Log.Info(text, "request", x.request.ID, "route", o.Route, "workspace", x.workspaceName(), "status", o.Status,
 		"verdict", o.Verdict, "cause", x.cause, "runner", x.runnerID, "attempts", o.Attempts, "event", x.lastEvent, "first", formatMillis(o.FirstLatency),
-		"took", formatMillis(o.TotalLatency), "version", x.configVersion(), "age", x.configAge())
+		"took", formatMillis(o.TotalLatency), "pause", formatMillis(x.longestPause), "version", x.configVersion(), "age", x.configAge())
 }
 
 // formatMillis formats a duration for logs, rounded to milliseconds.
--- a/internal/run/chiverelay/runner_state.go
+++ b/internal/run/chiverelay/runner_state.go
@@ -220,6 +220,14 @@
 	}
 }
 
+// RecentPause returns a high quantile of the recent pauses between events of the streams of a
+// service through this entry VM, or 0 if there were too few.
+func (rs *RunnerState) RecentPause(service string) time.Duration {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	return rs.limiter(service).RecentPause()
+}
+
 // limiter returns the concurrency limiter of a service, created on first use. The
 // caller must hold mu.
 func (rs *RunnerState) limiter(service string) *concurrencyLimiter {
