--- a/internal/run/chivebalance/group.go
+++ b/internal/run/chivebalance/group.go
@@ -116,7 +116,10 @@
 	g := &group{
 		name: name, balancer: b, term: term, slowdowns: map[int]float64{}, lastCounts: map[int]chiverank.ExpertCounts{},
 	}
-	g.switcher = &chiverank.Switcher{Ranks: b.Engine, Lease: term, Log: b.Log, Group: name, TokenSeq: tokenSeq, CurrentLayout: g.readLayout, Watch: g.watch, OnTakeover: b.OnTakeover}
+	g.switcher = &chiverank.Switcher{
+		Ranks: b.Engine, Lease: term, Log: b.Log, Group: name, TokenSeq: tokenSeq, CurrentLayout: g.readLayout,
+		Watch: g.watch, OnHeld: term.tellRound, KnownRound: b.KnownRound, OnTakeover: b.OnTakeover,
+	}
 	return g
 }
 
--- a/internal/run/chivebalance/term.go
+++ b/internal/run/chivebalance/term.go
@@ -7,6 +7,7 @@
 
 	"github.com/chiveyoke/chiveyoke/internal/state/chiveclock"
 	"github.com/chiveyoke/chiveyoke/internal/state/chivelease"
+	"github.com/chiveyoke/chiveyoke/internal/state/chiverank"
 )
 
 const (
@@ -35,17 +36,19 @@
 	clock  chiveclock.Clock
 	// pulse tells successors that a group is or is no longer held; nil means that there
 	// are none.
-	pulse  func(held bool)
+	pulse  func(held bool, round chiverank.Round)
 	fenced atomic.Bool
 	// checkedAt is the moment at which the last step on the lease began, or 0 if the
 	// process was suspended since then. pulsedAt is the moment of the last pulse, 0 while
 	// nobody watches.
 	checkedAt, pulsedAt atomic.Int64
+	// round is the round of the change for which the group is held, if it is known.
+	round atomic.Pointer[chiverank.Round]
 	// suspended receives a value when the process was found to have been suspended.
 	suspended chan struct{}
 }
 
-func newLeaseTerm(keeper *chivelease.Keeper, clock chiveclock.Clock, pulse func(held bool)) *leaseTerm {
+func newLeaseTerm(keeper *chivelease.Keeper, clock chiveclock.Clock, pulse func(held bool, round chiverank.Round)) *leaseTerm {
 	t := &leaseTerm{keeper: keeper, clock: clock, pulse: pulse, suspended: make(chan struct{}, 1)}
 	t.checked(clock.Now())
 	return t
@@ -88,6 +91,7 @@
 func (t *leaseTerm) watch() (end func()) {
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
+	t.round.Store(nil)
 	t.sendPulse(true)
 	t.pulsedAt.Store(int64(t.clock.Now()))
 	go func() {
@@ -114,8 +118,20 @@
 	}
 }
 
+// tellRound tells successors of the round at once: none of them can complete the change
+// without it before the first rank is armed.
+func (t *leaseTerm) tellRound(r chiverank.Round) {
+	t.round.Store(&r)
+	t.sendPulse(true)
+}
+
 func (t *leaseTerm) sendPulse(held bool) {
-	if t.pulse != nil {
-		t.pulse(held)
+	if t.pulse == nil {
+		return
+	}
+	var round chiverank.Round
+	if r := t.round.Load(); r != nil {
+		round = *r
 	}
+	t.pulse(held, round)
 }
--- a/internal/run/chivemesh/pulse.go
+++ b/internal/run/chivemesh/pulse.go
@@ -10,6 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/chiveyoke/chiveyoke/internal/state/chiveclock"
+	"github.com/chiveyoke/chiveyoke/internal/state/chiverank"
 )
 
 const (
@@ -41,6 +42,8 @@
 	SentAt chiveclock.Moment `cbor:"sent"`
 	// Turn is the place of the receiver among the successors, from 0.
 	Turn int `cbor:"turn,omitempty"`
+	// Round is the round of the change once the hold is confirmed.
+	Round chiverank.Round `cbor:"round,omitzero"`
 	// Ended is set once the group is released.
 	Ended bool `cbor:"ended,omitempty"`
 }
@@ -100,8 +103,8 @@
 }
 
 // Pulse tells the successors of this entry VM that it holds a group, or no longer does.
-// The successors stay the same until then.
-func (m *Mesh) Pulse(held bool) {
+// The successors stay the same until then. round is the round of the change, if it is known.
+func (m *Mesh) Pulse(held bool, round chiverank.Round) {
 	m.mu.Lock()
 	conn, first := m.conn, held && !m.pulsing
 	m.mu.Unlock()
@@ -109,7 +112,7 @@
 	if first {
 		peers = m.Peers()
 	}
-	for _, o := range m.pulsePackets(held, peers) {
+	for _, o := range m.pulsePackets(held, round, peers) {
 		data, err := cbor.Marshal(&o.packet)
 		if err != nil {
 			m.Log.Error("Packet cannot be encoded.", "error", err)
@@ -126,7 +129,7 @@
 
 // pulsePackets returns the pulses to the successors, which are chosen from peers if no
 // pulse was sent since the last release of a group.
-func (m *Mesh) pulsePackets(held bool, peers []Peer) []outgoingPacket {
+func (m *Mesh) pulsePackets(held bool, round chiverank.Round, peers []Peer) []outgoingPacket {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.Clock.Now()
@@ -143,7 +146,7 @@
 		}
 		// Pulses that are sent in the same instant are in order, too.
 		m.lastPulseAt = max(m.lastPulseAt+1, now)
-		pulse := &Pulse{From: m.Self.Name, Boot: m.Self.Boot, SentAt: m.lastPulseAt, Turn: turn, Ended: !held}
+		pulse := &Pulse{From: m.Self.Name, Boot: m.Self.Boot, SentAt: m.lastPulseAt, Turn: turn, Round: round, Ended: !held}
 		list = append(list, outgoingPacket{to: addr, packet: Packet{Pulse: pulse}})
 	}
 	return list
@@ -187,6 +190,13 @@
 	return m.holder.active()
 }
 
+// HolderRound returns the round that the holder has told of last.
+func (m *Mesh) HolderRound() chiverank.Round {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.holder.last.Round
+}
+
 // HolderSilent reports whether the holder of the map duty that this entry VM watches has
 // fallen silent while a group is held.
 func (m *Mesh) HolderSilent() bool {
