--- a/internal/state/chiverank/takeover_test.go
+++ b/internal/state/chiverank/takeover_test.go
@@ -333,19 +333,21 @@
 type holdRecorder struct {
 	*fakeGroup
 	held []int
+	// pass is the pass before which the group was held last.
+	pass int64
 }
 
 // Order implements Ranks.Order.
 func (h *holdRecorder) Order(ctx context.Context, m Member, o Order) error {
 	if o.Op == Hold {
-		h.held = append(h.held, m.Rank)
+		h.held, h.pass = append(h.held, m.Rank), o.Pass
 	}
 	return h.fakeGroup.Order(ctx, m, o)
 }
 
 // TestLateGoAfterRollback guards against a Go of a change that was rolled back, which
-// arrives while the next change holds the same idle group before the same pass: that
-// change must hold it by another rank.
+// arrives while the next change holds the same idle group: that change must hold it by
+// another rank, and before a pass that no earlier change can have chosen.
 func TestLateGoAfterRollback(t *testing.T) {
 	for held := range 5 {
 		synctest.Test(t, func(t *testing.T) {
@@ -364,6 +366,9 @@
 			if len(h.held) != 1 || h.held[0] == held {
 				t.Errorf("change holds the group by ranks %v, want one other than %d", h.held, held)
 			}
+			if h.pass <= maxLeadPasses {
+				t.Errorf("change holds the group before pass %d, which an earlier one may have chosen in pass 0", h.pass)
+			}
 		})
 	}
 }
