Bound the memory held for slow callers, and read on while they read slowly

A write to a slow caller blocked the goroutine that reads the runner. The runner cuts off an answer that stays unread, and its place stayed taken. With a limit on memory in the settings another goroutine now reads on into a bounded buffer, the runner is released when its answer has been read, and one budget counts bodies, answers and events.

--- a/cmd/chiveyoke-entry/main.go
+++ b/cmd/chiveyoke-entry/main.go
@@ -51,6 +51,7 @@
 		ReadinessAddress:  s.Listen.Readiness,
 		DirectoryAddress:  s.Listen.Directory,
 		MetricsAddress:    internal(portMetrics),
+		MemoryLimit:       s.Limits.MemoryLimit(),
 		GracePeriod:       time.Duration(s.Bounds.GraceSeconds * float64(time.Second)),
 		KeyRevocationTime: time.Duration(s.Bounds.RevokeMS * float64(time.Millisecond)),
 		RetryLimits: chiverelay.RetryLimits{
--- a/internal/peer/chiverunner/event.go
+++ b/internal/peer/chiverunner/event.go
@@ -26,20 +26,31 @@
 // EventReader splits a stream into complete events.
 type EventReader struct {
 	reader *bufio.Reader
+	// arrivals watches how the bytes of an event arrive.
+	arrivals *arrivalReader
 	// raw holds the bytes of the current event.
 	raw []byte
 }
 
 // NewEventReader returns an EventReader of the stream r.
 func NewEventReader(r io.Reader) *EventReader {
-	return &EventReader{reader: bufio.NewReaderSize(r, bufferSize)}
+	a := &arrivalReader{source: r}
+	return &EventReader{reader: bufio.NewReaderSize(a, bufferSize), arrivals: a}
+}
+
+// Detach leaves the Raw of the last event to its user: the following calls of Next do not
+// overwrite it.
+func (e *EventReader) Detach() {
+	e.raw = nil
 }
 
 // Next returns the next event. Its Raw is valid until the following call. Next returns
 // io.EOF if the stream ends between events, ErrTruncatedEvent if it ends within one,
-// ErrUnbounded if the event is too long, and another error if an id is not an integer.
+// ErrUnbounded if the event is too long, ErrStalled if it is not whole after eventTime, and
+// another error if an id is not an integer.
 func (e *EventReader) Next() (Event, error) {
 	e.raw = e.raw[:0]
+	e.arrivals.begin(e.Pending())
 	id, lineStart := int64(-1), 0
 	for {
 		part, err := e.reader.ReadSlice('\n')
--- a/internal/run/chiveentry/daemon.go
+++ b/internal/run/chiveentry/daemon.go
@@ -10,6 +10,7 @@
 	"maps"
 	"math/rand/v2"
 	"net/http"
+	"runtime/debug"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -19,6 +20,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/chiveyoke/chiveyoke/internal/peer/chiverunner"
+	"github.com/chiveyoke/chiveyoke/internal/policy/chivebudget"
 	"github.com/chiveyoke/chiveyoke/internal/policy/chivecap"
 	"github.com/chiveyoke/chiveyoke/internal/run/chivebalance"
 	"github.com/chiveyoke/chiveyoke/internal/run/chivehub"
@@ -77,6 +79,10 @@
 	// suspensionTime is the time between two runs of maintain above which the process
 	// counts as having been suspended.
 	suspensionTime = 1500 * time.Millisecond
+	// The heap is collected more often once the process uses heapLimitNumerator of
+	// heapLimitDenominator parts of its memory limit; the rest is for what the runtime does
+	// not count.
+	heapLimitNumerator, heapLimitDenominator = 3, 4
 	// shutdownMargin is how long before the end of its grace period a process stops
 	// waiting for running requests.
 	shutdownMargin = 400 * time.Millisecond
@@ -91,6 +97,8 @@
 	DirectoryAddress string
 	// MetricsAddress is where metrics are served.
 	MetricsAddress string
+	// MemoryLimit is the memory that the process may use in bytes, 0 if it is not limited.
+	MemoryLimit int64
 	// GracePeriod is the time from SIGTERM to SIGKILL.
 	GracePeriod time.Duration
 	// KeyRevocationTime is how long a key may still be used after its revocation.
@@ -200,6 +208,7 @@
 	d.relay = &chiverelay.Relay{
 		Dialect: deps.Dialect, State: runners, Pool: &chiverunner.Pool{}, Log: d.log.WithPrefix("relay"),
 		Zone: settings.Entry.Zone, Fleet: d.fleet, ConfigMaxAge: d.configMaxAge(), Observe: d.recordOutcome,
+		Memory:  chiverelay.Memory{Budget: chivebudget.ForMemory(settings.MemoryLimit)},
 		Crashes: chiverelay.CrashGuard{OnCrash: func() { d.mesh.SendNow() }},
 	}
 	return d
@@ -223,7 +232,7 @@
 	logging, endLogging := context.WithCancel(context.Background())
 	defer endLogging()
 	callers := &http.Server{
-		Handler: d.relay, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: d.relay, ConnContext: chiverelay.WithConn, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: d.log.WithPrefix("http").StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 	}
 	var group run.Group
@@ -246,6 +255,10 @@
 	if err := d.addServers(base, &group, callers); err != nil {
 		return err
 	}
+	if d.settings.MemoryLimit > 0 {
+		debug.SetMemoryLimit(d.settings.MemoryLimit / heapLimitDenominator * heapLimitNumerator)
+		d.log.Info("Memory is limited.", "limit", d.settings.MemoryLimit, "callers", d.relay.Memory.Budget.Total)
+	}
 	d.log.Info("Started.", "zone", d.settings.Entry.Zone, "callers", d.settings.Entry.CallerAddr, "boot", d.settings.Entry.Boot)
 	return group.Run()
 }
--- a/internal/run/chiverelay/admit.go
+++ b/internal/run/chiverelay/admit.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -42,9 +41,16 @@
 	}
 	x.service = x.pickService()
 	x.setDeadline()
+	x.holding.id = request.ID
+	if !x.holding.admit(max(0, x.r.ContentLength)) {
+		return x.refuse(causeNoMemory)
+	}
 	return x.readBody()
 }
 
+// causeNoMemory is the cause of requests that are refused for want of memory.
+const causeNoMemory = "no memory for further requests"
+
 // hostOnly returns a host without its port.
 func hostOnly(host string) string {
 	name, _, err := net.SplitHostPort(host)
@@ -111,11 +117,13 @@
 	if limit == 0 {
 		limit = 1 << 30
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	body, err := x.holding.readBody(http.MaxBytesReader(x.w, x.r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return x.reject(http.StatusRequestEntityTooLarge, "the body is too large")
+	case errors.Is(err, errBodyNoMemory):
+		return x.refuse(causeNoMemory)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return x.reject(http.StatusRequestTimeout, "the body did not arrive before the deadline")
 	case err != nil:
--- a/internal/run/chiverelay/answer_buffer.go
+++ b/internal/run/chiverelay/answer_buffer.go
@@ -4,7 +4,8 @@
 	"errors"
 	"fmt"
 	"io"
-	"sync/atomic"
+
+	"github.com/zeebo/errs"
 
 	"github.com/chiveyoke/chiveyoke/internal/peer/chiverunner"
 )
@@ -20,23 +21,20 @@
 	initialAnswerSize = 1 << 10
 )
 
-// answerBuffers limits the memory of all answers that are being buffered. The zero value
-// is ready to use.
-type answerBuffers struct {
-	// used is the number of bytes of answers beyond freeAnswerSize each.
-	used atomic.Int64
-}
+// errNoMemory is returned for an answer for which the budget leaves no memory.
+var errNoMemory = errs.New("no memory for the answer")
 
-// read reads an answer to its end. It returns an error that wraps chiverunner.ErrUnbounded
-// if the answer is longer than maxAnswerSize, or if it is longer than freeAnswerSize and
-// there is no memory left for it. Without an error, release must be called when the answer
-// is no longer needed.
-func (b *answerBuffers) read(body io.Reader) (answer []byte, release func(), err error) {
-	taken := int64(0)
-	giveBack := func() { b.used.Add(-taken) }
+// readAnswer reads an answer to its end. It returns an error that wraps chiverunner.ErrUnbounded
+// if the answer is longer than maxAnswerSize, or if it is longer than freeAnswerSize and answers
+// have used up what they may have together, and errNoMemory if the budget is spent. Without an
+// error, release must be called when the answer is no longer needed.
+func (h *holding) readAnswer(body io.Reader) (answer []byte, release func(), err error) {
+	m, taken := h.memory, int64(0)
+	giveBack := func() { m.answers.Add(-taken) }
 	defer func() {
 		if err != nil {
 			giveBack()
+			h.add(-taken)
 		}
 	}()
 	answer = make([]byte, 0, initialAnswerSize)
@@ -47,7 +45,12 @@
 		n, err := body.Read(answer[len(answer):cap(answer)])
 		answer = answer[:len(answer)+n]
 		if errors.Is(err, io.EOF) {
-			return answer, giveBack, nil
+			if !m.Budget.Limited() {
+				return answer, giveBack, nil
+			}
+			// The budget counts the answer until the end of the request.
+			giveBack()
+			return answer, func() {}, nil
 		}
 		if err != nil {
 			return nil, nil, err
@@ -57,8 +60,12 @@
 		}
 		if more := int64(len(answer)) - freeAnswerSize - taken; more > 0 {
 			taken += more
-			if b.used.Add(more) > maxBufferedSize {
-				return nil, nil, fmt.Errorf("answers take more than %d bytes of memory: %w", maxBufferedSize, chiverunner.ErrUnbounded)
+			fits := h.take(more)
+			if limit := m.maxAnswers(); m.answers.Add(more) > limit {
+				return nil, nil, fmt.Errorf("answers take more than %d bytes of memory: %w", limit, chiverunner.ErrUnbounded)
+			}
+			if !fits {
+				return nil, nil, errNoMemory
 			}
 		}
 	}
--- a/internal/run/chiverelay/attempt.go
+++ b/internal/run/chiverelay/attempt.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 
 	"github.com/chiveyoke/chiveyoke/internal/peer/chiverunner"
 	"github.com/chiveyoke/chiveyoke/internal/state/chiveclock"
@@ -54,17 +55,26 @@
 		x.recordFailure(ctx, runner.ID, fmt.Sprintf("runner %s broke off: %v", runner.ID, err))
 		return false
 	}
+	var once sync.Once
+	x.endAttempt = func(complete bool) { once.Do(func() { x.putConn(conn, resp, stop, complete) }) }
 	result := x.forwardResponse(ctx, runner, resp)
-	if !stop() || result != responseDelivered {
+	x.endAttempt(result == responseDelivered)
+	return result != attemptFailed
+}
+
+// putConn returns a connection to the pool and releases the runner if its response has been
+// read to the end, else it aborts the connection.
+func (x *exchange) putConn(conn *chiverunner.Conn, resp *http.Response, stop func() bool, complete bool) {
+	switch {
+	case !stop() || !complete:
 		conn.Abort()
-		return result != attemptFailed
-	}
-	if !conn.Reusable(resp) {
+		return
+	case !conn.Reusable(resp):
 		conn.Close()
-		return true
+	default:
+		x.relay.Pool.Put(conn)
 	}
-	x.relay.Pool.Put(conn)
-	return true
+	x.releaseRunner()
 }
 
 // attemptResult is the result of forwarding a runner's response.
@@ -165,7 +175,11 @@
 // forwardWhole reads the whole response before it forwards any of it. Server
 // errors, and any error of a stream that has started, are kept in x.heldResponse.
 func (x *exchange) forwardWhole(ctx context.Context, runner *chivefleet.Runner, resp *http.Response, ok bool) attemptResult {
-	body, release, err := x.relay.buffers.read(resp.Body)
+	body, release, err := x.holding.readAnswer(resp.Body)
+	if errors.Is(err, errNoMemory) {
+		x.cause = err.Error()
+		return attemptFailed
+	}
 	if err != nil {
 		x.noteBreak(ctx, runner)
 		x.noteUnbounded(runner, err)
@@ -182,6 +196,8 @@
 			return attemptFailed
 		}
 	}
+	// The runner has done its part, however slowly the caller reads.
+	x.endAttempt(true)
 	if !x.writeResponse(whole) {
 		return callerGone
 	}
@@ -199,7 +215,9 @@
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(b.body)))
 	x.status, x.firstLatency = b.status, chiveclock.Since(x.start)
 	x.w.WriteHeader(b.status)
-	if _, err := x.w.Write(b.body); err != nil {
+	out := x.newCallerWriter()
+	defer out.close()
+	if err := out.writeWhole(b.body); err != nil {
 		x.cause = "caller left: " + err.Error()
 		return false
 	}
@@ -210,38 +228,59 @@
 // that the caller already has.
 func (x *exchange) forwardStream(ctx context.Context, runner *chivefleet.Runner, resp *http.Response) attemptResult {
 	events := chiverunner.NewEventReader(resp.Body)
-	flush := http.NewResponseController(x.w)
-	for count := 1; ; count++ {
+	count := 0
+	buffer := newStreamBuffer(x.holding, events, func() ([]byte, error) { return x.readEvent(ctx, runner, events, &count) })
+	defer buffer.close()
+	out := x.newCallerWriter()
+	defer out.close()
+	out.onBlocked = buffer.readOn
+	for {
+		p, flush, err := buffer.next()
+		if errors.Is(err, io.EOF) {
+			x.finishStream(resp)
+			return responseDelivered
+		}
+		if err != nil {
+			return attemptFailed
+		}
+		x.startStream(resp)
+		if err := out.write(p, flush); err != nil {
+			x.endAttempt(false)
+			buffer.close()
+			x.cause = "caller left: " + err.Error()
+			return callerGone
+		}
+	}
+}
+
+// readEvent returns the next event of a stream that the caller lacks. At the end of the stream
+// it ends the attempt; other errors are recorded as its failure. count is the number of events
+// that were read.
+func (x *exchange) readEvent(ctx context.Context, runner *chivefleet.Runner, events *chiverunner.EventReader, count *int) ([]byte, error) {
+	for {
 		e, err := events.Next()
-		if errors.Is(err, io.EOF) || count == provenEvents && err == nil {
+		*count++
+		if errors.Is(err, io.EOF) || *count == provenEvents && err == nil {
 			x.relay.Crashes.noteAnswer(x.suspects())
 		}
 		if errors.Is(err, io.EOF) {
-			x.finishStream(resp)
-			return responseDelivered
+			x.endAttempt(true)
+			return nil, err
 		}
 		if err != nil {
-			if count <= provenEvents {
+			if *count <= provenEvents && !errors.Is(err, chiverunner.ErrStalled) {
 				x.noteBreak(ctx, runner)
 			}
 			x.noteUnbounded(runner, err)
 			x.recordFailure(ctx, runner.ID, fmt.Sprintf("runner %s broke off its stream after event %d: %v", runner.ID, x.lastEvent, err))
-			return attemptFailed
+			return nil, err
 		}
 		if e.ID >= 0 && e.ID <= x.lastEvent {
 			continue
 		}
 		x.recordPause()
-		x.startStream(resp)
-		_, err = x.w.Write(e.Raw)
-		if err == nil && !events.Pending() {
-			err = flush.Flush()
-		}
-		if err != nil {
-			x.cause = "caller left: " + err.Error()
-			return callerGone
-		}
 		x.lastEvent = max(x.lastEvent, e.ID)
+		return e.Raw, nil
 	}
 }
 
--- /dev/null
+++ b/internal/run/chiverelay/memory.go
@@ -0,0 +1,208 @@
+package chiverelay
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/chiveyoke/chiveyoke/internal/policy/chivebudget"
+	"github.com/chiveyoke/chiveyoke/internal/state/chiveclock"
+)
+
+// requestSize is the memory of a request that waits for its runner, without its body and
+// answer, in bytes: stacks, buffers of two connections, and headers.
+const requestSize = 32 << 10
+
+// Memory counts the bytes that a process holds for its callers: bodies, buffered answers and
+// events, and requestSize for each request. The zero value sets no limit but on answers.
+type Memory struct {
+	Budget chivebudget.Budget
+
+	// held is the number of bytes that are held.
+	held atomic.Int64
+	// answers is the number of bytes beyond freeAnswerSize each of answers that are being
+	// read.
+	answers atomic.Int64
+	// cuts and refusals count the callers that were cut and the requests that were refused.
+	cuts, refusals atomic.Int64
+
+	mu sync.Mutex
+	// slow holds the callers that a write has blocked for.
+	slow map[*holding]bool
+}
+
+// MemoryCounts holds what a Memory has counted.
+type MemoryCounts struct {
+	// Held is the number of bytes that are held, Slow the number of callers that read
+	// slowly now.
+	Held int64
+	Slow int
+	// Cuts and Refusals count the callers that were cut and the requests that were refused
+	// since the start.
+	Cuts, Refusals int64
+}
+
+// Counts returns what is held now and what was counted since the start.
+func (m *Memory) Counts() MemoryCounts {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return MemoryCounts{Held: m.held.Load(), Slow: len(m.slow), Cuts: m.cuts.Load(), Refusals: m.refusals.Load()}
+}
+
+// maxAnswers returns the number of bytes beyond freeAnswerSize each that answers may take
+// together while they are being read.
+func (m *Memory) maxAnswers() int64 {
+	if !m.Budget.Limited() {
+		return maxBufferedSize
+	}
+	return min(maxBufferedSize, m.Budget.Total/2)
+}
+
+// holding is what a Memory counts for one request. Its methods may be called concurrently.
+type holding struct {
+	memory *Memory
+	log    *log.Logger
+	id     string
+	// conn is the connection of the caller, nil if it is not known.
+	conn net.Conn
+	// interrupt ends a write to the caller.
+	interrupt func()
+
+	held atomic.Int64
+	// readAt is when the caller last read something after it was slow.
+	readAt atomic.Int64
+	// cut is set once the caller has been cut.
+	cut atomic.Bool
+}
+
+// newHolding returns the count of what is held for the exchange.
+func (x *exchange) newHolding() *holding {
+	h := &holding{memory: &x.relay.Memory, log: x.relay.Log}
+	// It is missing where the relay is not served with WithConn.
+	h.conn, _ = x.r.Context().Value(connKey{}).(net.Conn)
+	h.interrupt = func() {
+		// Only the writers of tests do not support deadlines.
+		_ = http.NewResponseController(x.w).SetWriteDeadline(time.Unix(1, 0))
+	}
+	return h
+}
+
+// admit counts a request that needs more bytes beside requestSize later. It returns false,
+// and counts a refusal, if they do not fit.
+func (h *holding) admit(more int64) bool {
+	m := h.memory
+	if !m.Budget.Admits(m.held.Load(), requestSize+more) {
+		m.refusals.Add(1)
+		return false
+	}
+	h.add(requestSize)
+	return true
+}
+
+// addBody counts n bytes of a request that was not sent yet. It returns false, and counts a
+// refusal, if they do not fit.
+func (h *holding) addBody(n int64) bool {
+	m := h.memory
+	if !m.Budget.Admits(m.held.Load(), n) {
+		m.refusals.Add(1)
+		return false
+	}
+	h.add(n)
+	return true
+}
+
+// add counts n bytes, or gives them back if n is negative.
+func (h *holding) add(n int64) {
+	if h.memory.Budget.Limited() {
+		h.held.Add(n)
+		h.memory.held.Add(n)
+	}
+}
+
+// take counts n bytes of an answer. If the budget is spent, it cuts slow callers, and returns
+// false if that does not make room.
+func (h *holding) take(n int64) bool {
+	h.add(n)
+	m := h.memory
+	return !m.Budget.Limited() || m.held.Load() <= m.Budget.Total || m.makeRoom()
+}
+
+// noteSlow registers the caller as one that reads slowly.
+func (h *holding) noteSlow() {
+	m := h.memory
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.slow == nil {
+		m.slow = map[*holding]bool{}
+	}
+	h.noteRead()
+	m.slow[h] = true
+}
+
+// noteRead records that the caller reads.
+func (h *holding) noteRead() {
+	h.readAt.Store(int64(chiveclock.Now()))
+}
+
+// release gives back all bytes. The connection of the caller is not touched afterwards.
+func (h *holding) release() {
+	m := h.memory
+	m.mu.Lock()
+	delete(m.slow, h)
+	m.mu.Unlock()
+	if n := h.held.Swap(0); n != 0 {
+		m.held.Add(-n)
+	}
+}
+
+// makeRoom cuts slow callers until the bytes that are held, without those of callers that have
+// been cut, are within the budget. It reports whether they are.
+func (m *Memory) makeRoom() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	excess := m.held.Load() - m.Budget.Total
+	now := chiveclock.Now()
+	var list []*holding
+	var callers []chivebudget.SlowCaller
+	for h := range m.slow {
+		if h.cut.Load() {
+			excess -= h.held.Load()
+			continue
+		}
+		list = append(list, h)
+		callers = append(callers, chivebudget.SlowCaller{Held: h.held.Load(), Idle: now.Sub(chiveclock.Moment(h.readAt.Load()))})
+	}
+	for _, i := range chivebudget.Cut(callers, excess) {
+		excess -= callers[i].Held
+		m.cuts.Add(1)
+		list[i].log.Warn("Caller reads too slowly and was cut, the memory for callers is spent.", "request", list[i].id,
+			"held", callers[i].Held, "idle", formatMillis(callers[i].Idle), "budget", m.Budget.Total)
+		list[i].cutCaller()
+	}
+	return excess <= 0
+}
+
+// cutCaller resets the connection of the caller, so that what the kernel holds for it is
+// discarded, too.
+func (h *holding) cutCaller() {
+	h.cut.Store(true)
+	if tcp, ok := h.conn.(*net.TCPConn); ok {
+		// It fails only if the connection is closed already.
+		_ = tcp.SetLinger(0)
+	}
+	h.interrupt()
+}
+
+// connKey is the key of the caller's connection in the context of a request.
+type connKey struct{}
+
+// WithConn returns a context from which the relay knows the connection of a caller. It has the
+// type of http.Server.ConnContext.
+func WithConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
--- a/internal/run/chiverelay/relay.go
+++ b/internal/run/chiverelay/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -54,8 +55,10 @@
 	// Observe is called with the outcome of each request. It may be nil.
 	Observe func(Outcome)
 
+	// Memory limits what is held for callers.
+	Memory Memory
+
 	keepAlivesDisabled atomic.Bool
-	buffers            answerBuffers
 }
 
 // Outcome describes a finished request.
@@ -86,10 +89,17 @@
 		w.Header().Set("Connection", "close")
 	}
 	x := &exchange{relay: rl, w: w, r: r, start: chiveclock.Now(), work: 1, tried: map[string]bool{}, lastEvent: -1}
+	x.holding = x.newHolding()
 	defer x.end()
 	if x.admit() {
 		x.forward()
 	}
+	x.holding.release()
+	if x.holding.cut.Load() {
+		// The response must not look complete.
+		x.cause = errCut.Error()
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // exchange is the processing of one request of a caller.
@@ -101,6 +111,8 @@
 	deadline chiveclock.Moment
 	request  Request
 	body     []byte
+	// holding counts the memory that is held for the request.
+	holding *holding
 	// fingerprint is that of the request, set once it is admitted.
 	fingerprint string
 	fleet       *chivefleet.Fleet
@@ -156,6 +168,13 @@
 	// retry succeeds.
 	heldResponse *bufferedResponse
 
+	// releaseRunner ends the latest attempt at its runner, once, and returns the runner to
+	// which the request migrates.
+	releaseRunner func() *chivefleet.Runner
+	// endAttempt ends the use of the latest connection to a runner, once. It is kept if the
+	// response is complete; then the runner is released, too.
+	endAttempt func(complete bool)
+
 	// onEnd holds functions that are called at the end of the exchange.
 	onEnd []func()
 	// status is the status of the response, 0 if none was sent.
@@ -170,6 +189,7 @@
 	for _, f := range x.onEnd {
 		f()
 	}
+	x.holding.release()
 	x.reportOutcome()
 }
 
@@ -220,8 +240,9 @@
 	defer cancel()
 	a := x.newInflightAttempt(runner, cancel)
 	x.relay.State.addInflight(runner.ID, a)
+	x.releaseRunner = sync.OnceValue(func() *chivefleet.Runner { return x.relay.State.removeInflight(runner.ID, a) })
 	done = x.attempt(ctx, runner)
-	next = x.relay.State.removeInflight(runner.ID, a)
+	next = x.releaseRunner()
 	if done && next != nil {
 		x.relay.State.Release(next.ID)
 		next = nil
--- a/internal/run/chiverelay/unbounded_test.go
+++ b/internal/run/chiverelay/unbounded_test.go
@@ -349,20 +349,21 @@
 // TestAnswerBuffers checks that the memory of answers is given back, also of those that are
 // given up, and that it is limited.
 func TestAnswerBuffers(t *testing.T) {
-	var b answerBuffers
+	var m Memory
+	b := &holding{memory: &m}
 	var releases []func()
 	size := int64(maxAnswerSize)
 	for range maxBufferedSize / maxAnswerSize {
-		_, release, err := b.read(io.LimitReader(zeroes{}, size))
+		_, release, err := b.readAnswer(io.LimitReader(zeroes{}, size))
 		if err != nil {
 			t.Fatal(err)
 		}
 		releases = append(releases, release)
 	}
-	if _, _, err := b.read(io.LimitReader(zeroes{}, size)); !errors.Is(err, chiverunner.ErrUnbounded) {
+	if _, _, err := b.readAnswer(io.LimitReader(zeroes{}, size)); !errors.Is(err, chiverunner.ErrUnbounded) {
 		t.Errorf("error without memory is %v", err)
 	}
-	if _, release, err := b.read(io.LimitReader(zeroes{}, freeAnswerSize)); err != nil {
+	if _, release, err := b.readAnswer(io.LimitReader(zeroes{}, freeAnswerSize)); err != nil {
 		t.Errorf("error of a small answer is %v", err)
 	} else {
 		release()
@@ -370,10 +371,10 @@
 	for _, f := range releases {
 		f()
 	}
-	if _, _, err := b.read(zeroes{}); !errors.Is(err, chiverunner.ErrUnbounded) {
+	if _, _, err := b.readAnswer(zeroes{}); !errors.Is(err, chiverunner.ErrUnbounded) {
 		t.Errorf("error of an endless answer is %v", err)
 	}
-	if n := b.used.Load(); n != 0 {
+	if n := m.answers.Load(); n != 0 {
 		t.Errorf("%d bytes are not given back", n)
 	}
 }
