Test slow callers, and keep room for others beside them

Slow callers may have half of the budget together: with one limit for all, 200 of them filled three quarters of it and kept all others out (0 of 100 served).

--- a/internal/policy/chivebudget/budget.go
+++ b/internal/policy/chivebudget/budget.go
@@ -23,6 +23,8 @@
 	// bounds it as a part of the budget.
 	maxPerCaller  = 1 << 20
 	callerDivisor = 8
+	// slowDivisor is the part of the budget that slow callers may have together.
+	slowDivisor = 2
 )
 
 // Budget is the memory that a process may hold for its callers. The zero value sets no limit.
@@ -50,6 +52,21 @@
 	return !b.Limited() || held+more <= b.Total/admitDenominator*admitNumerator
 }
 
+// SlowShare returns how many bytes slow callers may have together, so that requests of others
+// are admitted beside them.
+func (b Budget) SlowShare() int64 {
+	return b.Total / slowDivisor
+}
+
+// Excess returns by how many bytes held bytes, of which slow bytes are held for slow callers,
+// exceed the budget. Cutting slow callers frees both.
+func (b Budget) Excess(held, slow int64) int64 {
+	if !b.Limited() {
+		return 0
+	}
+	return max(0, held-b.Total, slow-b.SlowShare())
+}
+
 // PerCaller returns how many bytes may be read ahead for one caller.
 func (b Budget) PerCaller() int64 {
 	return min(maxPerCaller, b.Total/callerDivisor)
--- a/internal/policy/chivebudget/budget_test.go
+++ b/internal/policy/chivebudget/budget_test.go
@@ -20,8 +20,14 @@
 		if !b.Admits(0, b.Total/2) || b.Admits(b.Total/2, b.Total/2) || b.Admits(b.Total, 0) {
 			t.Errorf("%d MB: requests are not refused before the budget is spent", mb)
 		}
+		if !b.Admits(b.SlowShare(), b.Total/8) || b.Excess(b.SlowShare(), b.SlowShare()) > 0 || b.Excess(b.Total, 0) > 0 {
+			t.Errorf("%d MB: slow callers keep others out", mb)
+		}
+		if b.Excess(b.Total+1, 0) != 1 || b.Excess(b.SlowShare()+2, b.SlowShare()+2) != 2 {
+			t.Errorf("%d MB: callers may hold more than their share", mb)
+		}
 	}
-	if b := ForMemory(0); b.Limited() || !b.Admits(1<<40, 1<<40) {
+	if b := ForMemory(0); b.Limited() || !b.Admits(1<<40, 1<<40) || b.Excess(1<<40, 1<<40) > 0 {
 		t.Error("without a limit on memory requests are refused")
 	}
 }
--- a/internal/run/chiverelay/memory.go
+++ b/internal/run/chiverelay/memory.go
@@ -23,8 +23,9 @@
 type Memory struct {
 	Budget chivebudget.Budget
 
-	// held is the number of bytes that are held.
-	held atomic.Int64
+	// held is the number of bytes that are held, slowHeld of those that are held for slow
+	// callers.
+	held, slowHeld atomic.Int64
 	// answers is the number of bytes beyond freeAnswerSize each of answers that are being
 	// read.
 	answers atomic.Int64
@@ -74,6 +75,8 @@
 	interrupt func()
 
 	held atomic.Int64
+	// slow is set once a write to the caller has blocked.
+	slow atomic.Bool
 	// readAt is when the caller last read something after it was slow.
 	readAt atomic.Int64
 	// cut is set once the caller has been cut.
@@ -121,27 +124,33 @@
 	if h.memory.Budget.Limited() {
 		h.held.Add(n)
 		h.memory.held.Add(n)
+		if h.slow.Load() {
+			h.memory.slowHeld.Add(n)
+		}
 	}
 }
 
-// take counts n bytes of an answer. If the budget is spent, it cuts slow callers, and returns
-// false if that does not make room.
+// take counts n bytes of an answer. If the budget or the share of slow callers is spent, it
+// cuts slow callers, and returns false if that does not make room.
 func (h *holding) take(n int64) bool {
 	h.add(n)
-	m := h.memory
-	return !m.Budget.Limited() || m.held.Load() <= m.Budget.Total || m.makeRoom()
+	return h.memory.makeRoom()
 }
 
-// noteSlow registers the caller as one that reads slowly.
+// noteSlow registers the caller as one that reads slowly. Nothing may be counted for it at the
+// same time.
 func (h *holding) noteSlow() {
+	h.noteRead()
+	h.slow.Store(true)
 	m := h.memory
+	m.slowHeld.Add(h.held.Load())
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	if m.slow == nil {
 		m.slow = map[*holding]bool{}
 	}
-	h.noteRead()
 	m.slow[h] = true
+	m.mu.Unlock()
+	m.makeRoom()
 }
 
 // noteRead records that the caller reads.
@@ -157,15 +166,21 @@
 	m.mu.Unlock()
 	if n := h.held.Swap(0); n != 0 {
 		m.held.Add(-n)
+		if h.slow.Load() {
+			m.slowHeld.Add(-n)
+		}
 	}
 }
 
 // makeRoom cuts slow callers until the bytes that are held, without those of callers that have
-// been cut, are within the budget. It reports whether they are.
+// been cut, are within the budget and its share for slow callers. It reports whether they are.
 func (m *Memory) makeRoom() bool {
+	excess := m.Budget.Excess(m.held.Load(), m.slowHeld.Load())
+	if excess == 0 {
+		return true
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	excess := m.held.Load() - m.Budget.Total
 	now := chiveclock.Now()
 	var list []*holding
 	var callers []chivebudget.SlowCaller
--- a/internal/run/chiverelay/stream_buffer.go
+++ b/internal/run/chiverelay/stream_buffer.go
@@ -6,8 +6,7 @@
 	"github.com/chiveyoke/chiveyoke/internal/peer/chiverunner"
 )
 
-// blockSize is the size of a block of buffered events in bytes. A longer event has a block of
-// its own.
+// blockSize is the size of a block of buffered events in bytes.
 const blockSize = 8 << 10
 
 // streamBuffer passes the events of a runner's stream on to a caller. As long as the caller
@@ -92,14 +91,18 @@
 		// Until now the caller had nothing to read.
 		b.holding.noteRead()
 	}
-	last := len(b.blocks) - 1
-	if last < 0 || len(b.blocks[last])+len(event) > cap(b.blocks[last]) {
-		b.blocks = append(b.blocks, make([]byte, 0, max(blockSize, len(event))))
-		last++
-		grown = int64(cap(b.blocks[last]))
-		b.size += grown
+	for len(event) > 0 {
+		last := len(b.blocks) - 1
+		if last < 0 || len(b.blocks[last]) == cap(b.blocks[last]) {
+			b.blocks = append(b.blocks, make([]byte, 0, blockSize))
+			grown += blockSize
+			continue
+		}
+		n := min(len(event), cap(b.blocks[last])-len(b.blocks[last]))
+		b.blocks[last] = append(b.blocks[last], event[:n]...)
+		event = event[n:]
 	}
-	b.blocks[last] = append(b.blocks[last], event...)
+	b.size += grown
 	return grown
 }
 
