Do not take a nameless response on a used connection for an answer

A late second response without the id of its request was taken for the answer to the next request on the connection, also as a promise that it did not run.

--- a/internal/peer/chiverunner/conn.go
+++ b/internal/peer/chiverunner/conn.go
@@ -42,6 +42,8 @@
 	head *headReader
 	// idleUntil is the moment after which an idle connection is not used again.
 	idleUntil chiveclock.Moment
+	// reused reports that the connection has carried another request before.
+	reused bool
 	// noReuse reports that the connection must not carry another request.
 	noReuse bool
 	// bodyErr receives the result of writing a long body; nil if the last request
@@ -207,6 +209,12 @@
 	return nil
 }
 
+// Reused reports whether the connection has carried another request before, of which a response
+// may still arrive.
+func (c *Conn) Reused() bool {
+	return c.reused
+}
+
 // Reusable reports whether the connection may carry another request. The body of resp
 // must have been read to its end.
 func (c *Conn) Reusable(resp *http.Response) bool {
--- a/internal/peer/chiverunner/pool.go
+++ b/internal/peer/chiverunner/pool.go
@@ -52,6 +52,7 @@
 	if !fresh {
 		for c := p.popIdle(addr); c != nil; c = p.popIdle(addr) {
 			if c.usable() {
+				c.reused = true
 				return c, nil
 			}
 			c.Close()
--- a/internal/run/chiverelay/attempt.go
+++ b/internal/run/chiverelay/attempt.go
@@ -22,7 +22,7 @@
 	x.runnerID = runner.ID
 	// A request that must not run twice takes a new connection: if the runner had
 	// closed an idle one, it would be unknown whether the request ran.
-	fresh := !x.route.Repeatable()
+	fresh := x.fresh || !x.route.Repeatable()
 	conn, err := x.relay.Pool.Get(ctx, runner.Address, fresh)
 	if err != nil {
 		if chiverunner.IsRefused(err) {
@@ -55,6 +55,15 @@
 		x.recordFailure(ctx, runner.ID, fmt.Sprintf("runner %s broke off: %v", runner.ID, err))
 		return false
 	}
+	if conn.Reused() && x.relay.Dialect.Anonymous(resp) {
+		// It may be a late response to an earlier request: neither an answer to this one nor
+		// a promise that it does not run.
+		conn.Abort()
+		x.mayHaveRun, x.fresh = true, true
+		x.applyUnreturned(runner, x.relay.Dialect.Response(resp))
+		x.cause = fmt.Sprintf("runner %s answered %d without naming the request on a connection that was used before", runner.ID, resp.StatusCode)
+		return false
+	}
 	var once sync.Once
 	x.endAttempt = func(complete bool) { once.Do(func() { x.putConn(conn, resp, stop, complete) }) }
 	result := x.forwardResponse(ctx, runner, resp)
--- a/internal/run/chiverelay/dialect.go
+++ b/internal/run/chiverelay/dialect.go
@@ -77,6 +77,8 @@
 	Outgoing(in http.Header, o RunnerRequest) http.Header
 	// Matches reports whether a response belongs to the request with an ID.
 	Matches(id string, resp *http.Response) bool
+	// Anonymous reports whether a response that matches does not name its request.
+	Anonymous(resp *http.Response) bool
 	// Response decodes the header of a runner's response.
 	Response(resp *http.Response) Response
 	// Returned copies those fields of a runner's response header that are returned
--- a/internal/run/chiverelay/relay.go
+++ b/internal/run/chiverelay/relay.go
@@ -134,6 +134,8 @@
 	attempts int
 	// runnerID is the runner of the latest attempt.
 	runnerID string
+	// fresh reports that further attempts need new connections.
+	fresh bool
 	// brokeOff reports whether the latest attempt broke off unanswered at a runner that is not
 	// leaving.
 	brokeOff bool
--- a/internal/run/chiverelay/relay_test.go
+++ b/internal/run/chiverelay/relay_test.go
@@ -55,6 +55,10 @@
 	return got == id || got == "" && resp.StatusCode >= http.StatusBadRequest
 }
 
+func (testDialect) Anonymous(resp *http.Response) bool {
+	return resp.Header.Get("Id") == ""
+}
+
 func (testDialect) Response(resp *http.Response) Response {
 	// A missing header is no pause.
 	pause, _ := time.ParseDuration(resp.Header.Get("Pause"))
