--- a/internal/peer/chiverunner/event.go
+++ b/internal/peer/chiverunner/event.go
@@ -50,7 +50,7 @@
 // another error if an id is not an integer.
 func (e *EventReader) Next() (Event, error) {
 	e.raw = e.raw[:0]
-	e.arrivals.begin(e.Pending())
+	e.arrivals.begin(e.reader.Buffered() > 0)
 	id, lineStart := int64(-1), 0
 	for {
 		part, err := e.reader.ReadSlice('\n')
@@ -83,9 +83,11 @@
 	}
 }
 
-// Pending reports whether more bytes are buffered already.
+// Pending reports whether the end of another event is buffered already.
 func (e *EventReader) Pending() bool {
-	return e.reader.Buffered() > 0
+	// It does not fail for bytes that are buffered.
+	b, _ := e.reader.Peek(e.reader.Buffered())
+	return bytes.Contains(b, []byte("\n\n")) || bytes.Contains(b, []byte("\n\r\n"))
 }
 
 // endError replaces io.EOF within an event by ErrTruncatedEvent.
