Answer requests on accepted connections while an entry VM stops

http.Server.Shutdown reads the request of a connection that it had accepted before, and closes the connection without an answer: 12 of 12 such requests were cut (TestStopUnderLoad). The listener is now closed first, and the server once no connection carries a request.

--- /dev/null
+++ b/internal/bench/chiveplatform/stop_test.go
@@ -0,0 +1,151 @@
+package chiveplatform
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// acceptTime is how long after SIGTERM an entry VM of a site takes requests at least: nearly
+// half of its grace period, for which callers may use the last directory answer that lists it.
+const acceptTime = 2700 * time.Millisecond
+
+// TestStopUnderLoad checks that an entry VM which stops under load answers every request that
+// is sent while callers may still use it, over new and kept connections, and those that were sent
+// after it has closed its listener over a connection that it had accepted before.
+func TestStopUnderLoad(t *testing.T) {
+	s := startSite(t, 30, 2, 3)
+	e := s.EntryVMs[0]
+	var stoppedAt time.Time
+	stopped := make(chan struct{})
+	var callers sync.WaitGroup
+	for i := range 24 {
+		callers.Go(func() {
+			client := &http.Client{Timeout: 6 * time.Second, Transport: &http.Transport{DisableKeepAlives: i%2 == 0}}
+			defer client.CloseIdleConnections()
+			for k := 0; ; k++ {
+				select {
+				case <-stopped:
+					if time.Since(stoppedAt) > acceptTime {
+						return
+					}
+				default:
+				}
+				route := []string{"once", "any", "stream"}[i%3]
+				id := fmt.Sprintf("load-%d-%d", i, k)
+				a := Send(t.Context(), client, e.CallerAddress(), route, id, "k1")
+				if a.Status != http.StatusServiceUnavailable && (a.Status != http.StatusOK || !a.Complete) {
+					t.Errorf("%s: status %d, complete %t", id, a.Status, a.Complete)
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
+		})
+	}
+	time.Sleep(500 * time.Millisecond)
+	stoppedAt = time.Now()
+	e.Signal(syscall.SIGTERM)
+	close(stopped)
+	// These connections are accepted, and carry their requests after the listener is closed.
+	time.Sleep(acceptTime - 200*time.Millisecond)
+	var accepted []net.Conn
+	for range 12 {
+		c, err := net.Dial("tcp4", e.CallerAddress())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = c.Close() }()
+		accepted = append(accepted, c)
+	}
+	time.Sleep(stoppedAt.Add(shutdownGrace/2 + 300*time.Millisecond).Sub(time.Now()))
+	if c, err := net.Dial("tcp4", e.CallerAddress()); err == nil {
+		_ = c.Close()
+		t.Error("the listener is open")
+	}
+	for i, c := range accepted {
+		_, err := fmt.Fprintf(c, "POST /once/x HTTP/1.1\r\nHost: site.example\r\nChiveyoke-Attempt-Id: late-%d\r\nChiveyoke-Deadline-Ms: 2000\r\nAuthorization: Token k1\r\nContent-Length: 4\r\n\r\nbody", i)
+		if err != nil {
+			t.Errorf("late request %d: %v", i, err)
+			continue
+		}
+		_ = c.SetReadDeadline(time.Now().Add(3 * time.Second))
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Errorf("late request %d: %v", i, err)
+			continue
+		}
+		if resp.StatusCode != http.StatusOK || !resp.Close {
+			t.Errorf("late request %d: status %d, closes %t", i, resp.StatusCode, resp.Close)
+		}
+		_ = resp.Body.Close()
+	}
+	callers.Wait()
+	if !e.WaitExit(shutdownGrace) {
+		t.Error("entry VM did not exit with status 0 within its grace period")
+	}
+}
+
+// TestRestartWhileStoreIsAway checks that an entry VM which starts while the store does not answer,
+// and knows only what others hold, uses neither a key that was withdrawn before nor, once the
+// store is back, a runner that had left.
+func TestRestartWhileStoreIsAway(t *testing.T) {
+	s := startSite(t, 31, 3, 3)
+	time.Sleep(time.Second)
+	s.Store.SetFault(StoreSilent)
+	if err := s.Configure("k2"); err != nil {
+		t.Fatal(err)
+	}
+	revokedAt := time.Now()
+	s.UnregisterRunner(0)
+	e := s.EntryVMs[2]
+	e.Signal(syscall.SIGKILL)
+	e.WaitExit(shutdownGrace)
+	if err := e.Start(); err != nil {
+		t.Fatal(err)
+	}
+	send := func(prefix string, n int, key string) string {
+		id := fmt.Sprintf("%s-%d", prefix, n)
+		Send(t.Context(), &http.Client{Timeout: time.Second}, e.CallerAddress(), "any", id, key)
+		return id
+	}
+	for i := 0; time.Since(revokedAt) < revocationBound+2*time.Second; i++ {
+		id := send("withdrawn", i, "k1")
+		for _, r := range s.Runners {
+			for _, at := range r.StartTimes()[id] {
+				if at.Sub(revokedAt) > revocationBound {
+					t.Errorf("%s started %v after its key was withdrawn", id, at.Sub(revokedAt))
+				}
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	s.Store.SetFault(StoreHealthy)
+	if err := s.WaitReady(8 * time.Second); err != nil {
+		t.Fatal(err)
+	}
+	// A runner that has left may be asked for this long after entry VMs are in touch again.
+	time.Sleep(contactTime)
+	served := 0
+	for i := range 30 {
+		id := send("back", i, "k2")
+		if len(s.Runners[0].StartTimes()[id]) > 0 {
+			t.Errorf("%s reached the runner that has left", id)
+		}
+		for _, r := range s.Runners[1:] {
+			served += len(r.StartTimes()[id])
+		}
+		send("old", i, "k1")
+		for _, r := range s.Runners {
+			if len(r.StartTimes()[fmt.Sprintf("old-%d", i)]) > 0 {
+				t.Errorf("old-%d was run with a key that was withdrawn", i)
+			}
+		}
+	}
+	if served == 0 {
+		t.Error("no request is served")
+	}
+}
--- a/internal/run/chiveentry/daemon.go
+++ b/internal/run/chiveentry/daemon.go
@@ -9,6 +9,7 @@
 	"io"
 	"maps"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"runtime/debug"
 	"slices"
@@ -157,6 +158,9 @@
 	relay     *chiverelay.Relay
 	balancer  *chivebalance.Balancer
 	meter     *chivemeter.Meter
+	// callerListener accepts the connections of callers, callerConns knows them.
+	callerListener net.Listener
+	callerConns    callerConns
 	// leaving reports whether the process was told to stop.
 	leaving atomic.Bool
 	// registrationLost receives a value when the store has lost the row of this entry VM.
@@ -232,7 +236,7 @@
 	logging, endLogging := context.WithCancel(context.Background())
 	defer endLogging()
 	callers := &http.Server{
-		Handler: d.relay, ConnContext: chiverelay.WithConn, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: d.relay, ConnContext: chiverelay.WithConn, ConnState: d.callerConns.note, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: d.log.WithPrefix("http").StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 	}
 	var group run.Group
@@ -335,9 +339,11 @@
 	deadline := start.Add(d.settings.GracePeriod - shutdownMargin)
 	grace, cancel := context.WithTimeout(context.Background(), chiveclock.Until(deadline))
 	defer cancel()
-	if err := callers.Shutdown(grace); err != nil {
+	_ = d.callerListener.Close()
+	if err := d.callerConns.drain(grace); err != nil {
 		d.log.Warn("Requests were aborted.", "error", err)
 	}
+	_ = callers.Close()
 	if err := d.writeStore(grace, func(ctx context.Context) error {
 		return d.deps.Store.Remove(ctx, d.settings.Tables.System, entryPrefix+d.settings.Entry.Name)
 	}); err != nil {
--- a/internal/run/chiveentry/servers.go
+++ b/internal/run/chiveentry/servers.go
@@ -32,8 +32,13 @@
 		if err != nil {
 			return Error.Wrap(err)
 		}
+		if s.server == callers {
+			d.callerListener = l
+		}
 		group.Add(func() error {
-			if err := s.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			err := s.server.Serve(l)
+			// waitAndDrain closes the listener for callers before the server.
+			if stopped := d.leaving.Load() && errors.Is(err, net.ErrClosed); !stopped && !errors.Is(err, http.ErrServerClosed) {
 				return Error.Wrap(err)
 			}
 			<-base.Done()
