--- a/cmd/chiveyoke-soak/site.go
+++ b/cmd/chiveyoke-soak/site.go
@@ -44,6 +44,7 @@
 	flags.BoolVar(&template.OlderCopies, "copies", false, "let the store return from older copies beside the other faults")
 	flags.BoolVar(&template.Silences, "silences", false, "let all connections to the store go silent beside the other faults")
 	flags.BoolVar(&template.Troubles, "troubles", false, "let runners leave, ask for pauses, name limits, answer without an end and crash under a part of prompts or a request, and entry VMs stop in series, beside the other faults")
+	flags.BoolVar(&template.SlowCallers, "slow-callers", false, "let a third of the callers read slowly in every second seed, and limit the memory of entry VMs")
 	flags.IntVar(&template.EntryVMs, "entries", 4, "number of entry VMs")
 	flags.IntVar(&template.Runners, "runners", 3, "number of runners")
 	flags.StringVar(&logDir, "logs", "", "directory for settings and logs; they are deleted if it is not set")
--- a/internal/bench/chiveplatform/site.go
+++ b/internal/bench/chiveplatform/site.go
@@ -54,6 +54,8 @@
 	StoreLink *Proxy
 	// Dir is the directory of the settings and logs of the entry VMs.
 	Dir string
+	// MemoryMB is the limit on the memory of entry VMs in their settings, in MB; 0 for none.
+	MemoryMB int
 
 	// program is the path of the entry VM daemon.
 	program string
@@ -287,6 +289,7 @@
 		"node-name": e.Name, "ip": e.IP, "zone": e.Zone,
 		"listen":         map[string]any{"frontend": address(callerPort), "readiness": address(readinessPort), "directory": address(directoryPort)},
 		"internal-ports": []int{internalPortMin, internalPortMax},
+		"limits":         map[string]any{"memory-mb": e.site.MemoryMB},
 		"bounds": map[string]any{
 			"grace-s": shutdownGrace.Seconds(), "revoke-ms": revocationBound.Milliseconds(), "retry-ratio": 0.2, "retry-window-s": 10, "retry-slack": 90,
 		},
--- a/internal/bench/chiveplatform/soak.go
+++ b/internal/bench/chiveplatform/soak.go
@@ -29,6 +29,8 @@
 	minServedFraction = 0.9
 	// probeInterval is the time between two probes of the configuration at an entry VM.
 	probeInterval = 60 * time.Millisecond
+	// soakMemoryMB is the limit on the memory of entry VMs with slow callers, in MB.
+	soakMemoryMB = 136
 	// startTimeout bounds the time until all entry VMs are ready.
 	startTimeout = 20 * time.Second
 )
@@ -51,6 +53,9 @@
 	// under a part of prompts or a request, and entry VMs stop in series, beside the other
 	// faults.
 	Troubles bool
+	// SlowCallers lets a third of the callers read slowly in every second seed, and limits the
+	// memory of entry VMs.
+	SlowCallers bool
 	// EntryVMs and Runners are the numbers of entry VMs and of runners.
 	EntryVMs int
 	Runners  int
@@ -104,6 +109,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if s.SlowCallers {
+		site.MemoryMB = soakMemoryMB
+	}
 	p := &soakRun{
 		Soak: s, site: site, result: Result{Faults: map[string]int{}}, answers: map[string]Answer{}, keys: map[string]string{},
 		sentAt: map[string]time.Time{}, sent: map[string]sending{},
@@ -163,7 +171,11 @@
 // addresses that it looks up in the directory every second.
 func (p *soakRun) runCaller(ctx context.Context, n int) {
 	rng := rand.New(rand.NewPCG(p.Seed, uint64(n)+1000))
-	client := &http.Client{Timeout: 6 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 4}}
+	transport := &http.Transport{MaxIdleConnsPerHost: 4}
+	if p.SlowCallers && p.Seed%2 == 0 && n%3 == 0 {
+		transport.DialContext = dialSlowly
+	}
+	client := &http.Client{Timeout: 6 * time.Second, Transport: transport}
 	defer client.CloseIdleConnections()
 	var addresses []string
 	var lookupAfter time.Time
--- a/internal/bench/chiveplatform/stop_test.go
+++ b/internal/bench/chiveplatform/stop_test.go
@@ -61,7 +61,7 @@
 		defer func() { _ = c.Close() }()
 		accepted = append(accepted, c)
 	}
-	time.Sleep(stoppedAt.Add(shutdownGrace/2 + 300*time.Millisecond).Sub(time.Now()))
+	time.Sleep(time.Until(stoppedAt.Add(shutdownGrace/2 + 300*time.Millisecond)))
 	if c, err := net.Dial("tcp4", e.CallerAddress()); err == nil {
 		_ = c.Close()
 		t.Error("the listener is open")
