--- a/internal/run/chiverelay/memory.go
+++ b/internal/run/chiverelay/memory.go
@@ -175,12 +175,13 @@
 // makeRoom cuts slow callers until the bytes that are held, without those of callers that have
 // been cut, are within the budget and its share for slow callers. It reports whether they are.
 func (m *Memory) makeRoom() bool {
-	excess := m.Budget.Excess(m.held.Load(), m.slowHeld.Load())
-	if excess == 0 {
+	if m.Budget.Excess(m.held.Load(), m.slowHeld.Load()) == 0 {
 		return true
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	// Another goroutine may have made room meanwhile.
+	excess := m.Budget.Excess(m.held.Load(), m.slowHeld.Load())
 	now := chiveclock.Now()
 	var list []*holding
 	var callers []chivebudget.SlowCaller
