--- a/internal/run/chiveentry/daemon.go
+++ b/internal/run/chiveentry/daemon.go
@@ -9,7 +9,9 @@
 	"io"
 	"maps"
 	"math/rand/v2"
+	"net"
 	"net/http"
+	"runtime/debug"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -19,6 +21,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/chiveyoke/chiveyoke/internal/peer/chiverunner"
+	"github.com/chiveyoke/chiveyoke/internal/policy/chivebudget"
 	"github.com/chiveyoke/chiveyoke/internal/policy/chivecap"
 	"github.com/chiveyoke/chiveyoke/internal/run/chivebalance"
 	"github.com/chiveyoke/chiveyoke/internal/run/chivehub"
@@ -77,6 +80,10 @@
 	// suspensionTime is the time between two runs of maintain above which the process
 	// counts as having been suspended.
 	suspensionTime = 1500 * time.Millisecond
+	// The heap is collected more often once the process uses heapLimitNumerator of
+	// heapLimitDenominator parts of its memory limit; the rest is for what the runtime does
+	// not count.
+	heapLimitNumerator, heapLimitDenominator = 3, 4
 	// shutdownMargin is how long before the end of its grace period a process stops
 	// waiting for running requests.
 	shutdownMargin = 400 * time.Millisecond
@@ -91,6 +98,8 @@
 	DirectoryAddress string
 	// MetricsAddress is where metrics are served.
 	MetricsAddress string
+	// MemoryLimit is the memory that the process may use in bytes, 0 if it is not limited.
+	MemoryLimit int64
 	// GracePeriod is the time from SIGTERM to SIGKILL.
 	GracePeriod time.Duration
 	// KeyRevocationTime is how long a key may still be used after its revocation.
@@ -149,6 +158,9 @@
 	relay     *chiverelay.Relay
 	balancer  *chivebalance.Balancer
 	meter     *chivemeter.Meter
+	// callerListener accepts the connections of callers, callerConns knows them.
+	callerListener net.Listener
+	callerConns    callerConns
 	// leaving reports whether the process was told to stop.
 	leaving atomic.Bool
 	// registrationLost receives a value when the store has lost the row of this entry VM.
@@ -206,6 +218,7 @@
 	d.relay = &chiverelay.Relay{
 		Dialect: deps.Dialect, State: runners, Pool: &chiverunner.Pool{}, Log: d.log.WithPrefix("relay"),
 		Zone: settings.Entry.Zone, Fleet: d.fleet, ConfigMaxAge: d.configMaxAge(), Observe: d.recordOutcome,
+		Memory:  chiverelay.Memory{Budget: chivebudget.ForMemory(settings.MemoryLimit)},
 		Crashes: chiverelay.CrashGuard{OnCrash: func() { d.mesh.SendNow() }},
 	}
 	return d
@@ -229,7 +242,7 @@
 	logging, endLogging := context.WithCancel(context.Background())
 	defer endLogging()
 	callers := &http.Server{
-		Handler: d.relay, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: d.relay, ConnContext: chiverelay.WithConn, ConnState: d.callerConns.note, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: d.log.WithPrefix("http").StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 	}
 	var group run.Group
@@ -252,6 +265,10 @@
 	if err := d.addServers(base, &group, callers); err != nil {
 		return err
 	}
+	if d.settings.MemoryLimit > 0 {
+		debug.SetMemoryLimit(d.settings.MemoryLimit / heapLimitDenominator * heapLimitNumerator)
+		d.log.Info("Memory is limited.", "limit", d.settings.MemoryLimit, "callers", d.relay.Memory.Budget.Total)
+	}
 	d.log.Info("Started.", "zone", d.settings.Entry.Zone, "callers", d.settings.Entry.CallerAddr, "boot", d.settings.Entry.Boot)
 	return group.Run()
 }
@@ -328,9 +345,11 @@
 	deadline := start.Add(d.settings.GracePeriod - shutdownMargin)
 	grace, cancel := context.WithTimeout(context.Background(), chiveclock.Until(deadline))
 	defer cancel()
-	if err := callers.Shutdown(grace); err != nil {
+	_ = d.callerListener.Close()
+	if err := d.callerConns.drain(grace); err != nil {
 		d.log.Warn("Requests were aborted.", "error", err)
 	}
+	_ = callers.Close()
 	if err := d.writeStore(grace, func(ctx context.Context) error {
 		return d.deps.Store.Remove(ctx, d.settings.Tables.System, entryPrefix+d.settings.Entry.Name)
 	}); err != nil {
