--- /dev/null
+++ b/internal/policy/chiveadmit/gate.go
@@ -0,0 +1,186 @@
+package chiveadmit
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// minBudgetFraction and maxBudgetFraction bound the budget of an entry VM, in even
+	// parts of the limit: whatever others report, it serves and it cannot flood.
+	minBudgetFraction = 0.25
+	maxBudgetFraction = 4
+	// minShareFraction and maxShareFraction bound an entry VM's share of the room that is
+	// left, in even shares.
+	minShareFraction = 0.5
+	maxShareFraction = 2
+	// maxHeadroomFraction bounds the part of a budget that is kept for more urgent work.
+	maxHeadroomFraction = 0.35
+	// waiveFraction is the fraction of the requests lacking only headroom that are admitted
+	// all the same, so that the least urgent work is not starved.
+	waiveFraction = 0.34
+	// goldenRatio spaces successive rounding thresholds evenly.
+	goldenRatio = 0.6180339887498949
+	// maxWork bounds the work of one request.
+	maxWork = 64
+)
+
+// The reasons of refusals.
+const (
+	reasonNoRoom     = "admission: no room is left for any urgency"
+	reasonNoHeadroom = "admission: the room that is left is kept for more urgent requests"
+)
+
+// Gate decides which requests one of several entry VMs admits to a service. All of them
+// together stay within the limit of the service, though each knows only old reports of
+// the work of the others. Times are durations since any fixed moment. The zero value
+// admits all requests until Update is called. It is not safe for concurrent use.
+type Gate struct {
+	// held is the work that this entry VM has admitted, and past is held at earlier times.
+	held float64
+	past history
+	// room is that of the last update, budget the work that may be held until the next one.
+	room   Room
+	share  float64
+	budget float64
+	// threshold rounds the parts of a place, in (0, 1].
+	threshold float64
+	demand    [urgencyLevels]arrivals
+	// waived counts by urgency, and for workspaces over their share, what is due to requests
+	// that lacked only headroom.
+	waived  [urgencyLevels][2]float64
+	ends    rate
+	returns returnOrder
+}
+
+// Known is what an entry VM knows of a service and of the entry VMs before it.
+type Known struct {
+	// Limit is the work that the runners of the service may hold, 0 if it has none.
+	Limit float64
+	// Others is the work that other entry VMs hold, Age ago.
+	Others float64
+	Age    time.Duration
+	// Entries is the number of entry VMs that share the limit, itself included.
+	Entries int
+	// Phase, in [0, 1), differs between the entry VMs.
+	Phase float64
+}
+
+// Update sets what is known. It is to be called a few times per second.
+func (g *Gate) Update(now time.Duration, k Known) {
+	entries := float64(max(1, k.Entries))
+	limit := max(0, finite(k.Limit))
+	age := min(max(0, k.Age), maxHistory)
+	others := min(max(0, finite(k.Others)), 2*limit)
+	then := g.past.at(now-age, g.held)
+	g.share = g.shareOf(then, others, entries)
+	all := then + others
+	even := limit / entries
+	g.budget = min(max(then+g.share*(limit-all), minBudgetFraction*even), maxBudgetFraction*even)
+	if entries == 1 {
+		g.budget = limit
+	}
+	if g.threshold == 0 {
+		g.threshold = finite(k.Phase)
+	}
+	g.threshold += goldenRatio
+	g.threshold -= math.Ceil(g.threshold) - 1
+	g.room = Room{Limit: limit, Rate: g.ends.perSecond(now) / g.share, Age: age}
+	g.past.add(now, g.held)
+}
+
+// shareOf returns the share of the room that this entry VM may take: the mean of an even
+// one and of its part of all work.
+func (g *Gate) shareOf(own, others, entries float64) float64 {
+	share := 1 / entries
+	if all := own + others; others > 0 && all > 0 {
+		share = (share + own/all) / 2
+	}
+	return min(max(share, minShareFraction/entries), maxShareFraction/entries, 1)
+}
+
+// Room returns what is known of the capacity of the service.
+func (g *Gate) Room() Room {
+	r := g.room
+	if g.share > 0 {
+		r.Held = max(0, r.Limit-(g.budget-g.held)/g.share)
+	}
+	return r
+}
+
+// Admit decides on a request and counts it if it is admitted. The caller must call End
+// with the work of an admitted request when it ends.
+func (g *Gate) Admit(now time.Duration, d Demand) Admission {
+	urgency := urgencyLevel(d.Urgency)
+	work := usualWork(d.Work)
+	g.demand[urgency].add(now, work)
+	if g.room.Limit == 0 {
+		return g.admit(now, work)
+	}
+	free := g.budget - g.held - g.threshold
+	if free < 0 {
+		return g.refuse(now, d, reasonNoRoom)
+	}
+	over := 0
+	if d.OverShare {
+		over = 1
+	}
+	if free >= g.headroom(now, urgency+over) {
+		return g.admit(now, work)
+	}
+	due := &g.waived[urgency][over]
+	if *due += waiveFraction; *due >= 1 {
+		*due--
+		return g.admit(now, work)
+	}
+	return g.refuse(now, d, reasonNoHeadroom)
+}
+
+// End counts the end of an admitted request.
+func (g *Gate) End(now time.Duration, work float64) {
+	work = usualWork(work)
+	g.held = max(0, g.held-work)
+	g.ends.add(now, work)
+	g.past.add(now, g.held)
+}
+
+func (g *Gate) admit(now time.Duration, work float64) Admission {
+	g.held += work
+	g.past.add(now, g.held)
+	return Admission{Admitted: true}
+}
+
+func (g *Gate) refuse(now time.Duration, d Demand, reason string) Admission {
+	return Admission{RetryAfter: g.returns.next(now, g.ends.perSecond(now), d.TimeLeft), Reason: reason}
+}
+
+// Return returns when a request is likely to find room that was refused for want of it after
+// it was admitted.
+func (g *Gate) Return(now, timeLeft time.Duration) time.Duration {
+	return g.returns.next(now, g.ends.perSecond(now), timeLeft)
+}
+
+// headroom returns the room that is kept for work of the levels below urgency.
+func (g *Gate) headroom(now time.Duration, urgency int) float64 {
+	sum := 0.0
+	for i := range min(urgency, urgencyLevels) {
+		sum += g.demand[i].surge(now)
+	}
+	return min(sum, maxHeadroomFraction*g.budget)
+}
+
+// usualWork returns work within its bounds, 1 if it is not known.
+func usualWork(work float64) float64 {
+	if work = finite(work); work <= 0 {
+		return 1
+	}
+	return min(work, maxWork)
+}
+
+// finite returns 0 for values that are no number or infinite.
+func finite(v float64) float64 {
+	if math.IsNaN(v) || math.IsInf(v, 0) {
+		return 0
+	}
+	return v
+}
--- a/internal/run/chiveentry/metrics.go
+++ b/internal/run/chiveentry/metrics.go
@@ -24,6 +24,9 @@
 	})
 	scope.Counter("requests").Inc(1)
 	scope.Counter("attempts").Inc(int64(o.Attempts))
+	if o.NotAdmitted {
+		d.meter.Scope.Tagged(map[string]string{"priority": strconv.Itoa(o.Priority)}).Counter("requests_not_admitted").Inc(1)
+	}
 	if o.Unbounded > 0 {
 		scope.Counter("answers_unbounded").Inc(int64(o.Unbounded))
 	}
@@ -61,6 +64,12 @@
 	s.Gauge("requests_excluded").Update(float64(d.relay.Crashes.ExcludedCount(chivesuspect.Request)))
 	s.Gauge("requests_busy").Update(float64(busy))
 	s.Gauge("peers_alive").Update(float64(len(d.mesh.Peers())))
+	for name, room := range d.relay.State.Rooms() {
+		tagged := s.Tagged(map[string]string{"service": name})
+		tagged.Gauge("admission_limit").Update(room.Limit)
+		tagged.Gauge("admission_held").Update(room.Held)
+		tagged.Gauge("admission_age_seconds").Update(room.Age.Seconds())
+	}
 	s.Gauge("zones_evacuated").Update(float64(len(f.EvacuatedZones)))
 	s.Gauge("map_duty").Update(boolGauge(d.balancer.HoldsDuty()))
 	s.Gauge("leaving").Update(boolGauge(d.leaving.Load()))
--- /dev/null
+++ b/internal/run/chiverelay/admission.go
@@ -0,0 +1,185 @@
+package chiverelay
+
+import (
+	"hash/fnv"
+	"sync"
+	"time"
+
+	"github.com/chiveyoke/chiveyoke/internal/policy/chiveadmit"
+	"github.com/chiveyoke/chiveyoke/internal/state/chiveclock"
+	"github.com/chiveyoke/chiveyoke/internal/state/chivefleet"
+)
+
+// reportDelay is the usual age of a load report's content when it arrives: digests sum up
+// reports of the last half second.
+const reportDelay = 100 * time.Millisecond
+
+// admissions decides which requests are let in at services whose requests differ in
+// priority. It owns the gates of these services. Its lock is held for single decisions only.
+type admissions struct {
+	mu sync.Mutex
+	// gates is keyed by service.
+	gates map[string]*serviceGate
+}
+
+// serviceGate is the gate of a service with what limits it.
+type serviceGate struct {
+	chiveadmit.Gate
+	fill chiveadmit.FillLimiter
+}
+
+// gate returns the gate of a service, created on first use. The caller must hold mu.
+func (a *admissions) gate(service string) *serviceGate {
+	g := a.gates[service]
+	if g == nil {
+		g = &serviceGate{}
+		if a.gates == nil {
+			a.gates = map[string]*serviceGate{}
+		}
+		a.gates[service] = g
+	}
+	return g
+}
+
+// admit decides on a request.
+func (a *admissions) admit(service string, d chiveadmit.Demand) chiveadmit.Admission {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.gate(service).Admit(time.Duration(chiveclock.Now()), d)
+}
+
+// end counts the end of an admitted request.
+func (a *admissions) end(service string, work float64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.gate(service).End(time.Duration(chiveclock.Now()), work)
+}
+
+// returnTime returns when a request that was admitted but found no runner is to return.
+func (a *admissions) returnTime(service string, timeLeft time.Duration) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.gate(service).Return(time.Duration(chiveclock.Now()), timeLeft)
+}
+
+// recordFirst records how long a runner took for the first event of a stream.
+func (a *admissions) recordFirst(service string, wait, target time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.gate(service).fill.AddFirst(wait, target)
+}
+
+// update sets what is known of a service, of which the limit per runner by its slots is
+// reduced to the part that is to be filled.
+func (a *admissions) update(service string, now chiveclock.Moment, k chiveadmit.Known, slots float64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	g := a.gate(service)
+	g.fill.EndInterval(time.Duration(now))
+	k.Limit = min(k.Limit, slots*g.fill.Fill())
+	g.Update(time.Duration(now), k)
+}
+
+// rooms returns the room of each service that has a gate.
+func (a *admissions) rooms() map[string]chiveadmit.Room {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	list := make(map[string]chiveadmit.Room, len(a.gates))
+	for name, g := range a.gates {
+		list[name] = g.Room()
+	}
+	return list
+}
+
+// Rooms returns what is known of the room of services whose requests differ in priority, by
+// service.
+func (rs *RunnerState) Rooms() map[string]chiveadmit.Room {
+	return rs.admissions.rooms()
+}
+
+// updateAdmission sets what is known of a service for the admission of requests. The limit
+// counts runners that take requests and whose group is open.
+func (rs *RunnerState) updateAdmission(s *chivefleet.Service, fleet *chivefleet.Fleet, runners []*chivefleet.Runner, now chiveclock.Moment) {
+	states := fleet.GroupStates(s.Name)
+	limiter, limit, slots := rs.limiter(s.Name), 0.0, 0.0
+	loads := make([]float64, 0, len(runners))
+	for _, r := range runners {
+		loads = append(loads, float64(rs.loads.total(r.ID, now)))
+		if !rs.accepts(r) || now < rs.pausedUntil(r.Incarnation()) || rs.slowdown(r.ID, now) >= migrationSlowdown {
+			continue
+		}
+		if r.Membership != nil && states[r.Membership.Group] != chivefleet.GroupOpen {
+			continue
+		}
+		limit += limiter.Limit(r.Slots)
+		slots += float64(r.Slots)
+	}
+	if count := float64(len(runners)); slots > 0 {
+		mean := slots / count
+		limit = min(limit, count*chiveadmit.MeanLoad(loads, mean))
+	}
+	others, age := rs.loads.reported(runners, now)
+	k := chiveadmit.Known{Limit: limit, Others: others, Age: age + reportDelay, Entries: len(rs.entries), Phase: phaseOf(rs.self)}
+	rs.admissions.update(s.Name, now, k, slots)
+}
+
+// phaseOf returns a number in [0, 1) that differs between names.
+func phaseOf(name string) float64 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(name))
+	return float64(h.Sum32()) / (1 << 32)
+}
+
+// reported returns the requests that others have at the runners, and the mean age of their
+// reports. A report does not count for more requests at a runner than it can hold.
+func (b *loadBook) reported(runners []*chivefleet.Runner, now chiveclock.Moment) (requests float64, age time.Duration) {
+	var weighted float64
+	for _, p := range b.peers {
+		old := now.Sub(p.receivedAt)
+		if old >= peerLoadMaxAge {
+			continue
+		}
+		sum := 0.0
+		for _, r := range runners {
+			sum += float64(min(max(0, p.inFlight[r.ID]), r.Slots+engineQueueLimit))
+		}
+		requests += sum
+		weighted += sum * old.Seconds()
+	}
+	if requests == 0 {
+		return 0, 0
+	}
+	return requests, time.Duration(weighted / requests * float64(time.Second))
+}
+
+// enter reports whether the request is admitted to its service. If not, it has responded.
+func (x *exchange) enter() bool {
+	if !x.service.Ranked {
+		return true
+	}
+	rs, service, work := x.relay.State, x.service.Name, x.work
+	d := chiveadmit.Demand{Urgency: x.priority(), Work: work, TimeLeft: chiveclock.Until(x.deadline)}
+	d.OverShare = x.workspace != nil && rs.overShare(service, x.workspace.Name)
+	a := rs.admissions.admit(service, d)
+	if !a.Admitted {
+		x.notAdmitted, x.returnAfter = true, a.RetryAfter
+		return x.refuse(a.Reason)
+	}
+	x.onEnd = append(x.onEnd, func() { rs.admissions.end(service, work) })
+	return true
+}
+
+// setReturn sets the time after which the request is to return if it found no runner with
+// room although it was admitted.
+func (x *exchange) setReturn() {
+	if x.service != nil && x.service.Ranked && x.returnAfter == 0 {
+		x.returnAfter = x.relay.State.admissions.returnTime(x.service.Name, chiveclock.Until(x.deadline))
+	}
+}
+
+// recordFirst records how long a runner took for the first event of the request.
+func (x *exchange) recordFirst() {
+	if x.service.Ranked && x.attempts == 1 {
+		x.relay.State.admissions.recordFirst(x.service.Name, chiveclock.Since(x.start), x.route.FirstTarget)
+	}
+}
--- a/internal/run/chiverelay/attempt.go
+++ b/internal/run/chiverelay/attempt.go
@@ -262,6 +262,7 @@
 		return
 	}
 	x.responseStarted, x.status, x.firstLatency = true, resp.StatusCode, chiveclock.Since(x.start)
+	x.recordFirst()
 	x.relay.Dialect.Returned(x.w.Header(), resp.Header)
 	x.w.WriteHeader(resp.StatusCode)
 }
--- a/internal/run/chiverelay/relay.go
+++ b/internal/run/chiverelay/relay.go
@@ -66,6 +66,10 @@
 	Status   int
 	Verdict  chiveverdict.Verdict
 	Attempts int
+	// NotAdmitted reports whether the request was refused because its service has too little
+	// room for its Priority.
+	NotAdmitted bool
+	Priority    int
 	// Unbounded counts the attempts whose answer exceeded a bound on its size.
 	Unbounded int
 	// FirstLatency is the time to the response header. Streams send it with their
@@ -149,6 +153,10 @@
 	// allLeaving reports whether the last reservation failed because all runners that have
 	// asked for no pause say that they are leaving.
 	allLeaving bool
+	// notAdmitted reports whether the request was refused for its urgency or want of room, and
+	// returnAfter when it is to return then; it is 0 if that is not known.
+	notAdmitted bool
+	returnAfter time.Duration
 	// groupBroken reports whether a runner refused the request because another
 	// runner of its group failed.
 	groupBroken bool
@@ -179,6 +187,9 @@
 	x.fingerprint = fingerprint(x.workspaceName(), x.r.Method, x.r.Host, x.r.RequestURI, x.body)
 	x.relay.State.CountRequest(x.service.Name)
 	x.relay.Crashes.countRequest(x.suspects())
+	if !x.enter() {
+		return
+	}
 	ctx, cancel := context.WithTimeout(x.r.Context(), chiveclock.Until(x.deadline))
 	defer cancel()
 	var runner *chivefleet.Runner
@@ -345,8 +356,14 @@
 		delay = brokenGroupRetryAfter
 	case x.unavailable || x.groupBroken:
 		delay = recoveryRetryAfter
+	default:
+		x.setReturn()
+	}
+	if x.returnAfter > 0 {
+		delay = x.returnAfter
+	} else {
+		delay += time.Duration(rand.Int64N(int64(delay / 2)))
 	}
-	delay += time.Duration(rand.Int64N(int64(delay / 2)))
 	x.relay.Dialect.Refuse(x.w.Header(), delay)
 	x.respondError(http.StatusServiceUnavailable, cause)
 	return false
@@ -382,6 +399,7 @@
 	o := Outcome{Status: x.status, Verdict: x.verdict(), Attempts: x.attempts, Unbounded: x.unbounded, FirstLatency: x.firstLatency, TotalLatency: chiveclock.Since(x.start)}
 	if x.route != nil {
 		o.Route, o.Kind = x.route.Name, x.route.Kind.String()
+		o.NotAdmitted, o.Priority = x.notAdmitted, x.priority()
 	}
 	if x.relay.Observe != nil {
 		x.relay.Observe(o)
--- a/internal/run/chiverelay/runner_state.go
+++ b/internal/run/chiverelay/runner_state.go
@@ -37,6 +37,8 @@
 // safe for concurrent use.
 type RunnerState struct {
 	limits RetryLimits
+	// admissions has its own lock, which may be taken while mu is held.
+	admissions admissions
 
 	mu sync.Mutex
 	// loads counts the requests in flight at each runner.
@@ -253,6 +255,11 @@
 		n := len(runners)
 		l.EndInterval(l.targetPause, s.Engine.IdlePassTime, float64(load)/float64(n), slots/n)
 	}
+	for name, s := range fleet.Config.Services {
+		if s.Ranked {
+			rs.updateAdmission(s, fleet, fleet.UsableRunners(name), now)
+		}
+	}
 }
 
 // ReserveOptions describes the request for which Reserve picks a runner.
--- a/internal/state/chivefleet/config.go
+++ b/internal/state/chivefleet/config.go
@@ -60,6 +60,8 @@
 	// PauseTarget is the longest pause between two events of a stream that meets
 	// the latency target; 0 means no target.
 	PauseTarget time.Duration
+	// FirstTarget is the time within which a response is to begin; 0 means no target.
+	FirstTarget time.Duration
 	// Priority is the default priority of requests, 0 for the most urgent.
 	Priority int
 	// Public routes need no key.
@@ -87,6 +89,9 @@
 	ColdRate float64
 	// Engine is nil for plain services.
 	Engine *Engine
+	// Ranked reports whether the requests to a model differ in priority, so that the more
+	// urgent ones go first when there is too little room. It is set by Config.Index.
+	Ranked bool
 }
 
 // Engine describes the model runners of a service.
@@ -135,9 +140,42 @@
 			c.workspacesByKey[k] = w
 		}
 	}
+	c.rankServices()
 	return nil
 }
 
+// rankServices sets Service.Ranked from the priorities of routes and workspaces.
+func (c *Config) rankServices() {
+	priorities := map[string]map[int]bool{}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		for _, t := range r.Targets {
+			if priorities[t.Service] == nil {
+				priorities[t.Service] = map[int]bool{}
+			}
+			c.addPriorities(r, priorities[t.Service])
+		}
+	}
+	for name, s := range c.Services {
+		s.Ranked = s.Engine != nil && len(priorities[name]) > 1
+	}
+}
+
+// addPriorities adds the priorities that requests of a route may have.
+func (c *Config) addPriorities(r *Route, to map[int]bool) {
+	unset := r.Public || len(c.Workspaces) == 0
+	for i := range c.Workspaces {
+		if p := c.Workspaces[i].Priority; p != nil && !r.Public {
+			to[*p] = true
+		} else {
+			unset = true
+		}
+	}
+	if unset {
+		to[r.Priority] = true
+	}
+}
+
 func (c *Config) checkRoute(r *Route) error {
 	if r.Host == "" || !strings.HasPrefix(r.Prefix, "/") {
 		return errors.New("host is empty or prefix does not start with /")
