--- a/internal/policy/chiveadmit/fill.go
+++ b/internal/policy/chiveadmit/fill.go
@@ -62,7 +62,7 @@
 	}
 }
 
-// MeanLoad returns the mean load per runner at which the runner at the 90th percentile of the
+// MeanLoad returns the mean load per runner at which the runner at the third quartile of the
 // loads is just full, from the loads as they are, which it sorts. Requests beyond the slots of a
 // runner wait there.
 func MeanLoad(loads []float64, slots float64) float64 {
@@ -75,6 +75,6 @@
 		sum += n
 	}
 	mean := sum / float64(len(loads))
-	spread := loads[(len(loads)*9)/10] - mean
+	spread := loads[(len(loads)*3)/4] - mean
 	return min(max(slots-spread, slots/2), slots)
 }
--- a/internal/policy/chiveadmit/gate.go
+++ b/internal/policy/chiveadmit/gate.go
@@ -12,13 +12,15 @@
 	maxBudgetFraction = 4
 	// minShareFraction and maxShareFraction bound an entry VM's share of the room that is
 	// left, in even shares.
-	minShareFraction = 0.5
+	minShareFraction = 0.75
 	maxShareFraction = 2
 	// maxHeadroomFraction bounds the part of a budget that is kept for more urgent work.
 	maxHeadroomFraction = 0.35
 	// waiveFraction is the fraction of the requests lacking only headroom that are admitted
 	// all the same, so that the least urgent work is not starved.
 	waiveFraction = 0.34
+	// maxOvercommitAge is the age of reports from which no room is given twice.
+	maxOvercommitAge = time.Second
 	// goldenRatio spaces successive rounding thresholds evenly.
 	goldenRatio = 0.6180339887498949
 	// maxWork bounds the work of one request.
@@ -48,9 +50,11 @@
 	demand    [urgencyLevels]arrivals
 	// waived counts by urgency, and for workspaces over their share, what is due to requests
 	// that lacked only headroom.
-	waived  [urgencyLevels][2]float64
-	ends    rate
-	returns returnOrder
+	waived [urgencyLevels][2]float64
+	// arrivals counts all work that arrives, ends what ends.
+	arrivals rate
+	ends     rate
+	returns  returnOrder
 }
 
 // Known is what an entry VM knows of a service and of the entry VMs before it.
@@ -76,7 +80,13 @@
 	g.share = g.shareOf(then, others, entries)
 	all := then + others
 	even := limit / entries
-	g.budget = min(max(then+g.share*(limit-all), minBudgetFraction*even), maxBudgetFraction*even)
+	room := limit - all
+	// While much room is left, others rarely take all of their shares at once; the older the
+	// reports, the less is known of that.
+	if room > 0 && limit > 0 {
+		room *= 1 + room/limit*max(0, 1-age.Seconds()/maxOvercommitAge.Seconds())
+	}
+	g.budget = min(max(then+g.share*room, minBudgetFraction*even), maxBudgetFraction*even)
 	if entries == 1 {
 		g.budget = limit
 	}
@@ -108,12 +118,18 @@
 	return r
 }
 
+// Budget returns the work that this entry VM may hold until the next update.
+func (g *Gate) Budget() float64 {
+	return g.budget
+}
+
 // Admit decides on a request and counts it if it is admitted. The caller must call End
 // with the work of an admitted request when it ends.
 func (g *Gate) Admit(now time.Duration, d Demand) Admission {
 	urgency := urgencyLevel(d.Urgency)
 	work := usualWork(d.Work)
 	g.demand[urgency].add(now, work)
+	g.arrivals.add(now, work)
 	if g.room.Limit == 0 {
 		return g.admit(now, work)
 	}
@@ -151,13 +167,15 @@
 }
 
 func (g *Gate) refuse(now time.Duration, d Demand, reason string) Admission {
-	return Admission{RetryAfter: g.returns.next(now, g.ends.perSecond(now), d.TimeLeft), Reason: reason}
+	return Admission{RetryAfter: g.Return(now, d.TimeLeft), Reason: reason}
 }
 
 // Return returns when a request is likely to find room that was refused for want of it after
 // it was admitted.
 func (g *Gate) Return(now, timeLeft time.Duration) time.Duration {
-	return g.returns.next(now, g.ends.perSecond(now), timeLeft)
+	// New requests take what ends. Others return to the room that is left beside them.
+	spare := (g.budget-g.held)/returnHorizon.Seconds() + g.ends.perSecond(now) - g.arrivals.perSecond(now)
+	return g.returns.next(now, spare, timeLeft)
 }
 
 // headroom returns the room that is kept for work of the levels below urgency.
--- a/internal/policy/chiveadmit/returns.go
+++ b/internal/policy/chiveadmit/returns.go
@@ -8,6 +8,8 @@
 	minReturn = 600 * time.Millisecond
 	// minReturnRate is the lowest rate per second at which room is expected.
 	minReturnRate = 0.5
+	// returnHorizon is the time over which room that is left now is given to those that return.
+	returnHorizon = time.Second
 	// maxReturnFraction is the part of the time left that a caller is told to wait at most.
 	maxReturnFraction = 1.0 / 3
 	// lateReturnSpread is the fraction of the longest wait over which requests are spread
--- a/internal/run/chiveentry/daemon.go
+++ b/internal/run/chiveentry/daemon.go
@@ -282,6 +282,7 @@
 			d.relay.Crashes.CheckFleet(fleet)
 			d.shareRates()
 			d.logExclusions()
+			d.relay.LogRefusals()
 		}
 	}
 }
--- a/internal/run/chiveentry/metrics.go
+++ b/internal/run/chiveentry/metrics.go
@@ -25,7 +25,7 @@
 	scope.Counter("requests").Inc(1)
 	scope.Counter("attempts").Inc(int64(o.Attempts))
 	if o.NotAdmitted {
-		d.meter.Scope.Tagged(map[string]string{"priority": strconv.Itoa(o.Priority)}).Counter("requests_not_admitted").Inc(1)
+		d.meter.Scope.Tagged(map[string]string{"urgency": strconv.Itoa(o.Urgency)}).Counter("requests_not_admitted").Inc(1)
 	}
 	if o.Unbounded > 0 {
 		scope.Counter("answers_unbounded").Inc(int64(o.Unbounded))
--- a/internal/run/chiverelay/admission.go
+++ b/internal/run/chiverelay/admission.go
@@ -2,17 +2,24 @@
 
 import (
 	"hash/fnv"
+	"math"
 	"sync"
 	"time"
 
+	"github.com/charmbracelet/log"
+
 	"github.com/chiveyoke/chiveyoke/internal/policy/chiveadmit"
 	"github.com/chiveyoke/chiveyoke/internal/state/chiveclock"
 	"github.com/chiveyoke/chiveyoke/internal/state/chivefleet"
 )
 
-// reportDelay is the usual age of a load report's content when it arrives: digests sum up
-// reports of the last half second.
-const reportDelay = 100 * time.Millisecond
+const (
+	// refusalLogInterval is the shortest time between two log lines on refusals at a service.
+	refusalLogInterval = time.Second
+	// reportDelay is the usual age of a load report's content when it arrives: digests sum up
+	// reports of the last half second.
+	reportDelay = 100 * time.Millisecond
+)
 
 // admissions decides which requests are let in at services whose requests differ in
 // priority. It owns the gates of these services. Its lock is held for single decisions only.
@@ -26,6 +33,11 @@
 type serviceGate struct {
 	chiveadmit.Gate
 	fill chiveadmit.FillLimiter
+	// refused counts the requests refused since loggedAt, by urgency.
+	refused  map[int]int
+	loggedAt chiveclock.Moment
+	// limits holds the limits per runner by pauses and by loads, for logs.
+	byPauses, byLoads float64
 }
 
 // gate returns the gate of a service, created on first use. The caller must hold mu.
@@ -45,7 +57,15 @@
 func (a *admissions) admit(service string, d chiveadmit.Demand) chiveadmit.Admission {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.gate(service).Admit(time.Duration(chiveclock.Now()), d)
+	g := a.gate(service)
+	admission := g.Admit(time.Duration(chiveclock.Now()), d)
+	if !admission.Admitted {
+		if g.refused == nil {
+			g.refused = map[int]int{}
+		}
+		g.refused[d.Urgency]++
+	}
+	return admission
 }
 
 // end counts the end of an admitted request.
@@ -69,14 +89,15 @@
 	a.gate(service).fill.AddFirst(wait, target)
 }
 
-// update sets what is known of a service, of which the limit per runner by its slots is
-// reduced to the part that is to be filled.
-func (a *admissions) update(service string, now chiveclock.Moment, k chiveadmit.Known, slots float64) {
+// update sets what is known of a service. Its limit is the least of those by pauses, by loads
+// and by the part of the slots that is to be filled.
+func (a *admissions) update(service string, now chiveclock.Moment, k chiveadmit.Known, byPauses, byLoads, slots float64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	g := a.gate(service)
 	g.fill.EndInterval(time.Duration(now))
-	k.Limit = min(k.Limit, slots*g.fill.Fill())
+	g.byPauses, g.byLoads = byPauses, byLoads
+	k.Limit = min(byPauses, byLoads, slots*g.fill.Fill())
 	g.Update(time.Duration(now), k)
 }
 
@@ -91,6 +112,29 @@
 	return list
 }
 
+// logRefusals logs, at most once in refusalLogInterval, how many requests were refused and why
+// there was no room.
+func (a *admissions) logRefusals(logger *log.Logger) {
+	now := chiveclock.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for name, g := range a.gates {
+		if len(g.refused) == 0 || now.Sub(g.loggedAt) < refusalLogInterval {
+			continue
+		}
+		r := g.Room()
+		logger.Info("Requests were not admitted.", "service", name, "refused", g.refused, "limit", math.Round(r.Limit), "held", math.Round(r.Held),
+			"ends", math.Round(r.Rate), "age", formatMillis(r.Age), "pauses", math.Round(g.byPauses), "loads", math.Round(g.byLoads), "fill", math.Round(100*g.fill.Fill())/100, "budget", math.Round(10*g.Budget())/10)
+		g.refused, g.loggedAt = nil, now
+	}
+}
+
+// LogRefusals logs how many requests were refused for their urgency or want of room, and what
+// is known of the room.
+func (rl *Relay) LogRefusals() {
+	rl.State.admissions.logRefusals(rl.Log)
+}
+
 // Rooms returns what is known of the room of services whose requests differ in priority, by
 // service.
 func (rs *RunnerState) Rooms() map[string]chiveadmit.Room {
@@ -101,7 +145,7 @@
 // counts runners that take requests and whose group is open.
 func (rs *RunnerState) updateAdmission(s *chivefleet.Service, fleet *chivefleet.Fleet, runners []*chivefleet.Runner, now chiveclock.Moment) {
 	states := fleet.GroupStates(s.Name)
-	limiter, limit, slots := rs.limiter(s.Name), 0.0, 0.0
+	limiter, byPauses, byLoads, slots := rs.limiter(s.Name), 0.0, 0.0, 0.0
 	loads := make([]float64, 0, len(runners))
 	for _, r := range runners {
 		loads = append(loads, float64(rs.loads.total(r.ID, now)))
@@ -111,16 +155,15 @@
 		if r.Membership != nil && states[r.Membership.Group] != chivefleet.GroupOpen {
 			continue
 		}
-		limit += limiter.Limit(r.Slots)
+		byPauses += limiter.Limit(r.Slots)
 		slots += float64(r.Slots)
 	}
 	if count := float64(len(runners)); slots > 0 {
-		mean := slots / count
-		limit = min(limit, count*chiveadmit.MeanLoad(loads, mean))
+		byLoads = count * chiveadmit.MeanLoad(loads, slots/count)
 	}
 	others, age := rs.loads.reported(runners, now)
-	k := chiveadmit.Known{Limit: limit, Others: others, Age: age + reportDelay, Entries: len(rs.entries), Phase: phaseOf(rs.self)}
-	rs.admissions.update(s.Name, now, k, slots)
+	k := chiveadmit.Known{Others: others, Age: age + reportDelay, Entries: len(rs.entries), Phase: phaseOf(rs.self)}
+	rs.admissions.update(s.Name, now, k, byPauses, byLoads, slots)
 }
 
 // phaseOf returns a number in [0, 1) that differs between names.
@@ -158,7 +201,7 @@
 		return true
 	}
 	rs, service, work := x.relay.State, x.service.Name, x.work
-	d := chiveadmit.Demand{Urgency: x.priority(), Work: work, TimeLeft: chiveclock.Until(x.deadline)}
+	d := chiveadmit.Demand{Urgency: x.urgency(), Work: work, TimeLeft: chiveclock.Until(x.deadline)}
 	d.OverShare = x.workspace != nil && rs.overShare(service, x.workspace.Name)
 	a := rs.admissions.admit(service, d)
 	if !a.Admitted {
@@ -169,6 +212,15 @@
 	return true
 }
 
+// urgency returns the place of the request among those of its service that differ in
+// priority.
+func (x *exchange) urgency() int {
+	if x.service == nil || !x.service.Ranked {
+		return 0
+	}
+	return x.service.Urgency(x.route, x.workspace)
+}
+
 // setReturn sets the time after which the request is to return if it found no runner with
 // room although it was admitted.
 func (x *exchange) setReturn() {
--- a/internal/run/chiverelay/relay.go
+++ b/internal/run/chiverelay/relay.go
@@ -67,9 +67,9 @@
 	Verdict  chiveverdict.Verdict
 	Attempts int
 	// NotAdmitted reports whether the request was refused because its service has too little
-	// room for its Priority.
+	// room for its Urgency.
 	NotAdmitted bool
-	Priority    int
+	Urgency     int
 	// Unbounded counts the attempts whose answer exceeded a bound on its size.
 	Unbounded int
 	// FirstLatency is the time to the response header. Streams send it with their
@@ -399,7 +399,7 @@
 	o := Outcome{Status: x.status, Verdict: x.verdict(), Attempts: x.attempts, Unbounded: x.unbounded, FirstLatency: x.firstLatency, TotalLatency: chiveclock.Since(x.start)}
 	if x.route != nil {
 		o.Route, o.Kind = x.route.Name, x.route.Kind.String()
-		o.NotAdmitted, o.Priority = x.notAdmitted, x.priority()
+		o.NotAdmitted, o.Urgency = x.notAdmitted, x.urgency()
 	}
 	if x.relay.Observe != nil {
 		x.relay.Observe(o)
--- a/internal/state/chivefleet/config.go
+++ b/internal/state/chivefleet/config.go
@@ -92,6 +92,8 @@
 	// Ranked reports whether the requests to a model differ in priority, so that the more
 	// urgent ones go first when there is too little room. It is set by Config.Index.
 	Ranked bool
+
+	urgencies map[urgency]int
 }
 
 // Engine describes the model runners of a service.
@@ -144,38 +146,6 @@
 	return nil
 }
 
-// rankServices sets Service.Ranked from the priorities of routes and workspaces.
-func (c *Config) rankServices() {
-	priorities := map[string]map[int]bool{}
-	for i := range c.Routes {
-		r := &c.Routes[i]
-		for _, t := range r.Targets {
-			if priorities[t.Service] == nil {
-				priorities[t.Service] = map[int]bool{}
-			}
-			c.addPriorities(r, priorities[t.Service])
-		}
-	}
-	for name, s := range c.Services {
-		s.Ranked = s.Engine != nil && len(priorities[name]) > 1
-	}
-}
-
-// addPriorities adds the priorities that requests of a route may have.
-func (c *Config) addPriorities(r *Route, to map[int]bool) {
-	unset := r.Public || len(c.Workspaces) == 0
-	for i := range c.Workspaces {
-		if p := c.Workspaces[i].Priority; p != nil && !r.Public {
-			to[*p] = true
-		} else {
-			unset = true
-		}
-	}
-	if unset {
-		to[r.Priority] = true
-	}
-}
-
 func (c *Config) checkRoute(r *Route) error {
 	if r.Host == "" || !strings.HasPrefix(r.Prefix, "/") {
 		return errors.New("host is empty or prefix does not start with /")
