--- a/internal/policy/chiveadmit/gate.go
+++ b/internal/policy/chiveadmit/gate.go
@@ -15,12 +15,20 @@
 	minShareFraction = 0.75
 	maxShareFraction = 2
 	// maxHeadroomFraction bounds the part of a budget that is kept for more urgent work.
-	maxHeadroomFraction = 0.35
+	maxHeadroomFraction = 0.2
 	// waiveFraction is the fraction of the requests lacking only headroom that are admitted
 	// all the same, so that the least urgent work is not starved.
 	waiveFraction = 0.34
 	// maxOvercommitAge is the age of reports from which no room is given twice.
 	maxOvercommitAge = time.Second
+	// overbookingGain is how much of the relative room that is left is added to the overbooking
+	// per update, overbookingDecay what is kept of it in an update without refusals.
+	overbookingGain  = 0.15
+	overbookingDecay = 0.97
+	// maxOverbooking bounds the overbooking, in even parts of the limit.
+	maxOverbooking = 0.2
+	// minFresh is the part of it that old reports allow.
+	minFresh = 0.5
 	// goldenRatio spaces successive rounding thresholds evenly.
 	goldenRatio = 0.6180339887498949
 	// maxWork bounds the work of one request.
@@ -45,6 +53,10 @@
 	room   Room
 	share  float64
 	budget float64
+	// overbooking is what the budget has beyond the share of the room, in even parts of the
+	// limit; refused reports whether a request was refused since the last update.
+	overbooking float64
+	refused     bool
 	// threshold rounds the parts of a place, in (0, 1].
 	threshold float64
 	demand    [urgencyLevels]arrivals
@@ -83,10 +95,14 @@
 	room := limit - all
 	// While much room is left, others rarely take all of their shares at once; the older the
 	// reports, the less is known of that.
+	fresh := max(0, 1-age.Seconds()/maxOvercommitAge.Seconds())
 	if room > 0 && limit > 0 {
-		room *= 1 + room/limit*max(0, 1-age.Seconds()/maxOvercommitAge.Seconds())
+		room *= 1 + room/limit*fresh
 	}
-	g.budget = min(max(then+g.share*room, minBudgetFraction*even), maxBudgetFraction*even)
+	g.adjustOverbooking(limit, all, fresh)
+	// What was held is a good base while it is recent. A fixed part of the limit needs no report.
+	base := fresh*(then+g.share*room) + (1-fresh)*g.share*limit
+	g.budget = min(max(base+g.overbooking*even, minBudgetFraction*even), maxBudgetFraction*even)
 	if entries == 1 {
 		g.budget = limit
 	}
@@ -99,6 +115,26 @@
 	g.past.add(now, g.held)
 }
 
+// adjustOverbooking raises the overbooking while requests are refused although all entry VMs
+// together hold less than the limit: budgets that are not used at the moment leave places
+// empty, and so does headroom.
+func (g *Gate) adjustOverbooking(limit, all, fresh float64) {
+	if limit == 0 {
+		return
+	}
+	gap := (limit - all) / limit
+	switch {
+	case gap < 0:
+		g.overbooking += 2 * overbookingGain * gap
+	case g.refused:
+		g.overbooking += overbookingGain * gap
+	default:
+		g.overbooking *= overbookingDecay
+	}
+	g.overbooking = min(max(0, g.overbooking), maxOverbooking*max(minFresh, fresh))
+	g.refused = false
+}
+
 // shareOf returns the share of the room that this entry VM may take: the mean of an even
 // one and of its part of all work.
 func (g *Gate) shareOf(own, others, entries float64) float64 {
@@ -167,6 +203,7 @@
 }
 
 func (g *Gate) refuse(now time.Duration, d Demand, reason string) Admission {
+	g.refused = true
 	return Admission{RetryAfter: g.Return(now, d.TimeLeft), Reason: reason}
 }
 
--- a/internal/policy/chiveadmit/returns.go
+++ b/internal/policy/chiveadmit/returns.go
@@ -14,7 +14,7 @@
 	maxReturnFraction = 1.0 / 3
 	// lateReturnSpread is the fraction of the longest wait over which requests are spread
 	// that would have to wait longer.
-	lateReturnSpread = 0.4
+	lateReturnSpread = 0.25
 )
 
 // returnOrder gives each refused request a place among those that return.
