--- a/internal/policy/chiveadmit/gate.go
+++ b/internal/policy/chiveadmit/gate.go
@@ -29,6 +29,8 @@
 	maxOverbooking = 0.2
 	// minFresh is the part of it that old reports allow.
 	minFresh = 0.5
+	// maxBehind is the number of levels that a request may stand behind its urgency.
+	maxBehind = 2
 	// goldenRatio spaces successive rounding thresholds evenly.
 	goldenRatio = 0.6180339887498949
 	// maxWork bounds the work of one request.
@@ -60,9 +62,9 @@
 	// threshold rounds the parts of a place, in (0, 1].
 	threshold float64
 	demand    [urgencyLevels]arrivals
-	// waived counts by urgency, and for workspaces over their share, what is due to requests
-	// that lacked only headroom.
-	waived [urgencyLevels][2]float64
+	// waived counts what is due to requests that lacked only headroom, by urgency and by the
+	// levels that they stand behind their urgency.
+	waived [urgencyLevels][maxBehind + 1]float64
 	// arrivals counts all work that arrives, ends what ends.
 	arrivals rate
 	ends     rate
@@ -173,14 +175,17 @@
 	if free < 0 {
 		return g.refuse(now, d, reasonNoRoom)
 	}
-	over := 0
+	behind := 0
 	if d.OverShare {
-		over = 1
+		behind++
 	}
-	if free >= g.headroom(now, urgency+over) {
+	if d.Late {
+		behind++
+	}
+	if free >= g.headroom(now, urgency+behind) {
 		return g.admit(now, work)
 	}
-	due := &g.waived[urgency][over]
+	due := &g.waived[urgency][behind]
 	if *due += waiveFraction; *due >= 1 {
 		*due--
 		return g.admit(now, work)
--- a/internal/run/chiverelay/admission.go
+++ b/internal/run/chiverelay/admission.go
@@ -202,6 +202,7 @@
 	}
 	rs, service, work := x.relay.State, x.service.Name, x.work
 	d := chiveadmit.Demand{Urgency: x.urgency(), Work: work, TimeLeft: chiveclock.Until(x.deadline)}
+	d.Late = x.isLate()
 	d.OverShare = x.workspace != nil && rs.overShare(service, x.workspace.Name)
 	a := rs.admissions.admit(service, d)
 	if !a.Admitted {
@@ -212,6 +213,12 @@
 	return true
 }
 
+// isLate reports whether the caller has less time than its route allows by more than the
+// target for the first event: it has waited before.
+func (x *exchange) isLate() bool {
+	return x.route.FirstTarget > 0 && x.request.Timeout > 0 && x.request.Timeout+x.route.FirstTarget < x.route.Timeout
+}
+
 // urgency returns the place of the request among those of its service that differ in
 // priority.
 func (x *exchange) urgency() int {
