--- a/internal/policy/chiveadmit/gate.go
+++ b/internal/policy/chiveadmit/gate.go
@@ -14,11 +14,6 @@
 	// left, in even shares.
 	minShareFraction = 0.75
 	maxShareFraction = 2
-	// maxHeadroomFraction bounds the part of a budget that is kept for more urgent work.
-	maxHeadroomFraction = 0.2
-	// waiveFraction is the fraction of the requests lacking only headroom that are admitted
-	// all the same, so that the least urgent work is not starved.
-	waiveFraction = 0.34
 	// maxOvercommitAge is the age of reports from which no room is given twice.
 	maxOvercommitAge = time.Second
 	// overbookingGain is how much of the relative room that is left is added to the overbooking
@@ -29,8 +24,8 @@
 	maxOverbooking = 0.2
 	// minFresh is the part of it that old reports allow.
 	minFresh = 0.5
-	// maxBehind is the number of levels that a request may stand behind its urgency.
-	maxBehind = 2
+	// endsMemory is the time constant of the rate at which work ends.
+	endsMemory = time.Second
 	// goldenRatio spaces successive rounding thresholds evenly.
 	goldenRatio = 0.6180339887498949
 	// maxWork bounds the work of one request.
@@ -39,8 +34,8 @@
 
 // The reasons of refusals.
 const (
-	reasonNoRoom     = "admission: no room is left for any urgency"
-	reasonNoHeadroom = "admission: the room that is left is kept for more urgent requests"
+	reasonNoRoom      = "admission: no room is left for any urgency"
+	reasonOthersFirst = "admission: the room that becomes free goes to more urgent requests"
 )
 
 // Gate decides which requests one of several entry VMs admits to a service. All of them
@@ -61,14 +56,9 @@
 	refused     bool
 	// threshold rounds the parts of a place, in (0, 1].
 	threshold float64
-	demand    [urgencyLevels]arrivals
-	// waived counts what is due to requests that lacked only headroom, by urgency and by the
-	// levels that they stand behind their urgency.
-	waived [urgencyLevels][maxBehind + 1]float64
-	// arrivals counts all work that arrives, ends what ends.
-	arrivals rate
-	ends     rate
-	returns  returnOrder
+	ranking   ranking
+	ends      rate
+	returns   returnOrder
 }
 
 // Known is what an entry VM knows of a service and of the entry VMs before it.
@@ -113,7 +103,7 @@
 	}
 	g.threshold += goldenRatio
 	g.threshold -= math.Ceil(g.threshold) - 1
-	g.room = Room{Limit: limit, Rate: g.ends.perSecond(now) / g.share, Age: age}
+	g.room = Room{Limit: limit, Rate: g.ends.perSecond(now, endsMemory) / g.share, Age: age}
 	g.past.add(now, g.held)
 }
 
@@ -164,40 +154,29 @@
 // Admit decides on a request and counts it if it is admitted. The caller must call End
 // with the work of an admitted request when it ends.
 func (g *Gate) Admit(now time.Duration, d Demand) Admission {
-	urgency := urgencyLevel(d.Urgency)
-	work := usualWork(d.Work)
-	g.demand[urgency].add(now, work)
-	g.arrivals.add(now, work)
+	class, work := classOf(d), usualWork(d.Work)
+	g.ranking.add(now, class, work)
 	if g.room.Limit == 0 {
 		return g.admit(now, work)
 	}
 	free := g.budget - g.held - g.threshold
-	if free < 0 {
-		return g.refuse(now, d, reasonNoRoom)
-	}
-	behind := 0
-	if d.OverShare {
-		behind++
-	}
-	if d.Late {
-		behind++
+	if now-g.ranking.planned >= planInterval {
+		g.ranking.plan(now, g.ends.perSecond(now, endsMemory)+free/roomHorizon.Seconds())
 	}
-	if free >= g.headroom(now, urgency+behind) {
-		return g.admit(now, work)
-	}
-	due := &g.waived[urgency][behind]
-	if *due += waiveFraction; *due >= 1 {
-		*due--
-		return g.admit(now, work)
+	switch {
+	case free < 0:
+		return g.refuse(now, d, reasonNoRoom)
+	case !g.ranking.due(class):
+		return g.refuse(now, d, reasonOthersFirst)
 	}
-	return g.refuse(now, d, reasonNoHeadroom)
+	return g.admit(now, work)
 }
 
 // End counts the end of an admitted request.
 func (g *Gate) End(now time.Duration, work float64) {
 	work = usualWork(work)
 	g.held = max(0, g.held-work)
-	g.ends.add(now, work)
+	g.ends.add(now, work, endsMemory)
 	g.past.add(now, g.held)
 }
 
@@ -216,19 +195,10 @@
 // it was admitted.
 func (g *Gate) Return(now, timeLeft time.Duration) time.Duration {
 	// New requests take what ends. Others return to the room that is left beside them.
-	spare := (g.budget-g.held)/returnHorizon.Seconds() + g.ends.perSecond(now) - g.arrivals.perSecond(now)
+	spare := (g.budget-g.held)/returnHorizon.Seconds() + g.ends.perSecond(now, endsMemory) - g.ranking.total(now)
 	return g.returns.next(now, spare, timeLeft)
 }
 
-// headroom returns the room that is kept for work of the levels below urgency.
-func (g *Gate) headroom(now time.Duration, urgency int) float64 {
-	sum := 0.0
-	for i := range min(urgency, urgencyLevels) {
-		sum += g.demand[i].surge(now)
-	}
-	return min(sum, maxHeadroomFraction*g.budget)
-}
-
 // usualWork returns work within its bounds, 1 if it is not known.
 func usualWork(work float64) float64 {
 	if work = finite(work); work <= 0 {
