--- a/internal/policy/chiveadmit/gate.go
+++ b/internal/policy/chiveadmit/gate.go
@@ -24,6 +24,9 @@
 	maxOverbooking = 0.2
 	// minFresh is the part of it that old reports allow.
 	minFresh = 0.5
+	// reserveFraction is the part of a budget that plans leave free: what arrives at random
+	// would else often find no room, whatever its urgency.
+	reserveFraction = 0.12
 	// endsMemory is the time constant of the rate at which work ends.
 	endsMemory = time.Second
 	// goldenRatio spaces successive rounding thresholds evenly.
@@ -161,7 +164,7 @@
 	}
 	free := g.budget - g.held - g.threshold
 	if now-g.ranking.planned >= planInterval {
-		g.ranking.plan(now, g.ends.perSecond(now, endsMemory)+free/roomHorizon.Seconds())
+		g.ranking.plan(now, g.ends.perSecond(now, endsMemory)+(free-reserveFraction*g.budget)/roomHorizon.Seconds())
 	}
 	switch {
 	case free < 0:
