--- a/internal/policy/chiveadmit/admission.go
+++ b/internal/policy/chiveadmit/admission.go
@@ -14,9 +14,6 @@
 	// OverShare reports whether the workspace of the request recently got more than its
 	// share of the service.
 	OverShare bool
-	// Late reports whether the caller has waited longer than the target already, so that it
-	// comes back after a refusal and cannot be served on time.
-	Late bool
 	// TimeLeft is the time until the deadline of the request.
 	TimeLeft time.Duration
 }
--- a/internal/policy/chiveadmit/ranking.go
+++ b/internal/policy/chiveadmit/ranking.go
@@ -10,10 +10,10 @@
 	// least urgent.
 	urgencyLevels = 10
 	// classCount is the number of classes of requests, see classOf.
-	classCount = 4 * urgencyLevels
-	// floorFraction is the fraction of each class that is admitted if the service has room for
-	// as much of all, so that the least urgent work is not starved.
-	floorFraction = 0.35
+	classCount = 2 * urgencyLevels
+	// floorFraction is the fraction of an even part of the room that each class gets, so that
+	// the least urgent work is not starved.
+	floorFraction = 0.5
 	// demandMemory is the time constant of the demand of a class. It is short against a burst
 	// and covers several requests of a class at an entry VM.
 	demandMemory = 700 * time.Millisecond
@@ -21,6 +21,8 @@
 	roomHorizon = 400 * time.Millisecond
 	// planInterval is how long the parts of a plan hold.
 	planInterval = 40 * time.Millisecond
+	// minDemand is the least work per second that a plan reckons with.
+	minDemand = 1e-6
 	// maxCredit bounds what a class is due from a time in which it had no requests.
 	maxCredit = 1
 )
@@ -34,16 +36,13 @@
 	return priority
 }
 
-// classOf returns the place of a request in the order in which requests are admitted: what
-// can be on time goes first, then what is urgent, then workspaces within their share.
+// classOf returns the place of a request in the order in which requests are admitted: by
+// urgency, and of one urgency those of workspaces within their share first.
 func classOf(d Demand) int {
 	class := 2 * urgencyLevel(d.Urgency)
 	if d.OverShare {
 		class++
 	}
-	if d.Late {
-		class += 2 * urgencyLevels
-	}
 	return class
 }
 
@@ -78,7 +77,7 @@
 		demand[i] = k.demand[i].perSecond(now, demandMemory)
 		all += demand[i]
 	}
-	floor := min(floorFraction, max(0, perSecond)/max(all, math.SmallestNonzeroFloat64))
+	floor := floorFraction * min(1, max(0, perSecond)/max(all, minDemand))
 	left := max(0, perSecond-floor*all)
 	for i, d := range demand {
 		rest := (1 - floor) * d
--- a/internal/run/chiverelay/admission.go
+++ b/internal/run/chiverelay/admission.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"math"
+	"strconv"
 	"sync"
 	"time"
 
@@ -33,9 +34,9 @@
 type serviceGate struct {
 	chiveadmit.Gate
 	fill chiveadmit.FillLimiter
-	// refused counts the requests refused since loggedAt, by urgency.
-	refused  map[int]int
-	loggedAt chiveclock.Moment
+	// refused counts the requests refused and offered counts all since loggedAt, by class.
+	refused, offered map[string]int
+	loggedAt         chiveclock.Moment
 	// limits holds the limits per runner by pauses and by loads, for logs.
 	byPauses, byLoads float64
 }
@@ -59,15 +60,25 @@
 	defer a.mu.Unlock()
 	g := a.gate(service)
 	admission := g.Admit(time.Duration(chiveclock.Now()), d)
+	if g.refused == nil {
+		g.refused, g.offered = map[string]int{}, map[string]int{}
+	}
+	g.offered[className(d)]++
 	if !admission.Admitted {
-		if g.refused == nil {
-			g.refused = map[int]int{}
-		}
-		g.refused[d.Urgency]++
+		g.refused[className(d)]++
 	}
 	return admission
 }
 
+// className returns the name of the class of a request in logs.
+func className(d chiveadmit.Demand) string {
+	name := strconv.Itoa(d.Urgency)
+	if d.OverShare {
+		name += "-over"
+	}
+	return name
+}
+
 // end counts the end of an admitted request.
 func (a *admissions) end(service string, work float64) {
 	a.mu.Lock()
@@ -123,9 +134,9 @@
 			continue
 		}
 		r := g.Room()
-		logger.Info("Requests were not admitted.", "service", name, "refused", g.refused, "limit", math.Round(r.Limit), "held", math.Round(r.Held),
+		logger.Info("Requests were not admitted.", "service", name, "refused", g.refused, "offered", g.offered, "limit", math.Round(r.Limit), "held", math.Round(r.Held),
 			"ends", math.Round(r.Rate), "age", formatMillis(r.Age), "pauses", math.Round(g.byPauses), "loads", math.Round(g.byLoads), "fill", math.Round(100*g.fill.Fill())/100, "budget", math.Round(10*g.Budget())/10)
-		g.refused, g.loggedAt = nil, now
+		g.refused, g.offered, g.loggedAt = nil, nil, now
 	}
 }
 
@@ -202,7 +213,6 @@
 	}
 	rs, service, work := x.relay.State, x.service.Name, x.work
 	d := chiveadmit.Demand{Urgency: x.urgency(), Work: work, TimeLeft: chiveclock.Until(x.deadline)}
-	d.Late = x.isLate()
 	d.OverShare = x.workspace != nil && rs.overShare(service, x.workspace.Name)
 	a := rs.admissions.admit(service, d)
 	if !a.Admitted {
@@ -213,12 +223,6 @@
 	return true
 }
 
-// isLate reports whether the caller has less time than its route allows by more than the
-// target for the first event: it has waited before.
-func (x *exchange) isLate() bool {
-	return x.route.FirstTarget > 0 && x.request.Timeout > 0 && x.request.Timeout+x.route.FirstTarget < x.route.Timeout
-}
-
 // urgency returns the place of the request among those of its service that differ in
 // priority.
 func (x *exchange) urgency() int {
