--- a/internal/policy/chiveadmit/fill.go
+++ b/internal/policy/chiveadmit/fill.go
@@ -8,16 +8,17 @@
 const (
 	// firstTargetFraction is the part of the target of the first event that a runner may
 	// use; the rest is for the way to the caller.
-	firstTargetFraction = 0.6
+	firstTargetFraction = 0.7
 	// lateQuantile is the quantile of the waits that is compared with the target.
 	lateQuantile = 0.75
 	// minWaits is the number of waits below which an interval changes nothing, maxWaits the
 	// number that is kept.
 	minWaits = 8
 	maxWaits = 256
-	// fillDecrease and fillIncrease change the factor per interval.
+	// fillDecrease multiplies the factor when first events are late, fillIncrease is added to
+	// it per second otherwise.
 	fillDecrease = 5.0 / 6
-	fillIncrease = 0.02
+	fillIncrease = 0.1
 	// minFill is the lowest factor.
 	minFill = 0.4
 	// settleTime is how long after a decrease waits still belong to requests admitted before.
@@ -27,9 +28,10 @@
 // FillLimiter limits the part of the runners' slots that is filled, by the time that first
 // events take. The zero value allows all slots.
 type FillLimiter struct {
-	waits       []float64
-	decrease    float64
-	decreasedAt time.Duration
+	waits    []float64
+	decrease float64
+	// decreasedAt and changedAt are when the factor was last decreased and changed.
+	decreasedAt, changedAt time.Duration
 }
 
 // AddFirst records the time from a request's attempt to its first event, and the target
@@ -55,10 +57,11 @@
 	l.waits = l.waits[:0]
 	switch {
 	case !late:
-		l.decrease = max(0, l.decrease-fillIncrease)
+		l.decrease = max(0, l.decrease-fillIncrease*(now-l.changedAt).Seconds())
+		l.changedAt = now
 	case l.decreasedAt == 0 || now-l.decreasedAt >= settleTime:
 		l.decrease = min(1-minFill, 1-fillDecrease*(1-l.decrease))
-		l.decreasedAt = now
+		l.decreasedAt, l.changedAt = now, now
 	}
 }
 
--- a/internal/policy/chiveadmit/gate.go
+++ b/internal/policy/chiveadmit/gate.go
@@ -26,7 +26,7 @@
 	minFresh = 0.5
 	// reserveFraction is the part of a budget that plans leave free: what arrives at random
 	// would else often find no room, whatever its urgency.
-	reserveFraction = 0.12
+	reserveFraction = 0.08
 	// endsMemory is the time constant of the rate at which work ends.
 	endsMemory = time.Second
 	// goldenRatio spaces successive rounding thresholds evenly.
