--- a/internal/policy/chiveadmit/gate.go
+++ b/internal/policy/chiveadmit/gate.go
@@ -108,6 +108,7 @@
 	g.threshold -= math.Ceil(g.threshold) - 1
 	g.room = Room{Limit: limit, Rate: g.ends.perSecond(now, endsMemory) / g.share, Age: age}
 	g.past.add(now, g.held)
+	g.ranking.planned = 0
 }
 
 // adjustOverbooking raises the overbooking while requests are refused although all entry VMs
