--- a/internal/policy/chivelimit/limiter.go
+++ b/internal/policy/chivelimit/limiter.go
@@ -46,6 +46,11 @@
 	}
 }
 
+// Sparse reports whether the interval has too few pauses to be evaluated.
+func (l *ConcurrencyLimiter) Sparse() bool {
+	return len(l.pauses) < minSamples
+}
+
 // Limit returns the number of concurrent requests that a runner with the given
 // number of slots may have.
 func (l *ConcurrencyLimiter) Limit(slots int) float64 {
@@ -64,7 +69,7 @@
 func (l *ConcurrencyLimiter) EndInterval(maxPause, idlePause time.Duration, running float64, slots int) {
 	defer func() { l.pauses = l.pauses[:0] }()
 	current := l.Limit(slots)
-	if len(l.pauses) < minSamples || maxPause <= idlePause {
+	if l.Sparse() || maxPause <= idlePause {
 		l.limit = min(current+maxIncrease, float64(slots))
 		return
 	}
--- a/internal/run/chiverelay/runner_state.go
+++ b/internal/run/chiverelay/runner_state.go
@@ -253,6 +253,10 @@
 			slots += r.Slots
 		}
 		n := len(runners)
+		// Streams without events tell nothing: their group may stand still.
+		if s.Ranked && l.Sparse() && load > n {
+			continue
+		}
 		l.EndInterval(l.targetPause, s.Engine.IdlePassTime, float64(load)/float64(n), slots/n)
 	}
 	for name, s := range fleet.Config.Services {
