--- a/internal/run/chiveentry/daemon.go
+++ b/internal/run/chiveentry/daemon.go
@@ -305,6 +305,7 @@
 			d.relay.Crashes.CheckFleet(fleet)
 			d.shareRates()
 			d.logExclusions()
+			d.relay.LogRefusals()
 		}
 	}
 }
--- a/internal/run/chiveentry/metrics.go
+++ b/internal/run/chiveentry/metrics.go
@@ -25,6 +25,9 @@
 	})
 	scope.Counter("requests").Inc(1)
 	scope.Counter("attempts").Inc(int64(o.Attempts))
+	if o.NotAdmitted {
+		d.meter.Scope.Tagged(map[string]string{"urgency": strconv.Itoa(o.Urgency)}).Counter("requests_not_admitted").Inc(1)
+	}
 	if o.Unbounded > 0 {
 		scope.Counter("answers_unbounded").Inc(int64(o.Unbounded))
 	}
@@ -88,6 +91,12 @@
 	s.Gauge("callers_cut").Update(float64(memory.Cuts))
 	s.Gauge("memory_refusals").Update(float64(memory.Refusals))
 	s.Gauge("peers_alive").Update(float64(len(d.mesh.Peers())))
+	for name, room := range d.relay.State.Rooms() {
+		tagged := s.Tagged(map[string]string{"service": name})
+		tagged.Gauge("admission_limit").Update(room.Limit)
+		tagged.Gauge("admission_held").Update(room.Held)
+		tagged.Gauge("admission_age_seconds").Update(room.Age.Seconds())
+	}
 	s.Gauge("zones_evacuated").Update(float64(len(f.EvacuatedZones)))
 	s.Gauge("map_duty").Update(boolGauge(d.balancer.HoldsDuty()))
 	s.Gauge("leaving").Update(boolGauge(d.leaving.Load()))
--- a/internal/state/chivefleet/config.go
+++ b/internal/state/chivefleet/config.go
@@ -61,6 +61,8 @@
 	// PauseTarget is the longest pause between two events of a stream that meets
 	// the latency target; 0 means no target.
 	PauseTarget time.Duration
+	// FirstTarget is the time within which a response is to begin; 0 means no target.
+	FirstTarget time.Duration
 	// Priority is the default priority of requests, 0 for the most urgent.
 	Priority int
 	// Public routes need no key.
@@ -88,6 +90,11 @@
 	ColdRate float64
 	// Engine is nil for plain services.
 	Engine *Engine
+	// Ranked reports whether the requests to a model differ in priority, so that the more
+	// urgent ones go first when there is too little room. It is set by Config.Index.
+	Ranked bool
+
+	urgencies map[urgency]int
 }
 
 // Engine describes the model runners of a service.
@@ -136,6 +143,7 @@
 			c.workspacesByKey[k] = w
 		}
 	}
+	c.rankServices()
 	return nil
 }
 
