Decode what requests cost, and choose runners without an allocation

Choice copied candidates into lists on each request. It draws its sample in one pass now, and may weigh work left at a candidate beside the number of its requests.

--- a/internal/policy/chivechoice/choice.go
+++ b/internal/policy/chivechoice/choice.go
@@ -8,6 +8,9 @@
 	// InFlight is the number of requests at the runner, sent by any entry VM.
 	// Counts of other entry VMs are as last reported.
 	InFlight int
+	// Work is the work left of these requests, in usual requests. It matters only to a
+	// Chooser with ByWork.
+	Work float64
 	// Slots is the number of requests that the runner executes concurrently.
 	Slots int
 	// SameZone reports whether the runner is in the zone of the entry VM.
@@ -32,9 +35,13 @@
 	// CrossZoneCost is the cost of a candidate in another zone, in requests; 0
 	// means 1.5.
 	CrossZoneCost float64
-	// SampleSize is the number of candidates drawn in the zone of the entry VM; 0
-	// means 4.
+	// SampleSize is the number of candidates drawn in the zone of the entry VM, at most
+	// all; 0 means 4.
 	SampleSize int
+	// ByWork weighs the work left at a candidate as much as the number of its requests. All
+	// ranks of a group wait in each pass for the one that has most to do: the number tells
+	// what that is now, the work how long it lasts.
+	ByWork bool
 }
 
 const (
@@ -42,6 +49,9 @@
 	defaultCrossZoneCost = 1.5
 	suspectCost          = 1000
 	triedCost            = 5000
+	// workWeight is the weight of the work left at a candidate, against the number of its
+	// requests.
+	workWeight = 0.5
 	// defaultSampleSize comes close to the least loaded runner where reports are
 	// fresh and causes little herding where they are stale
 	// (TestHerdingOnStaleReports).
@@ -54,69 +64,71 @@
 // Choose returns the index of the candidate with the lowest cost, or -1 if none
 // has capacity.
 func (c Chooser) Choose(list []Candidate, draw *rand.Rand) int {
-	sample := c.sampleCandidates(list, draw)
-	if i := c.lowestCost(list, sample, draw); i >= 0 {
-		return i
+	var buffer [defaultSampleSize + crossZoneSampleSize]int
+	best := lowest{index: -1}
+	for _, i := range c.sampleCandidates(buffer[:0], list, draw) {
+		best.add(i, c.cost(list[i]), draw)
+	}
+	if best.index >= 0 {
+		return best.index
 	}
-	all := make([]int, len(list))
 	for i := range list {
-		all[i] = i
+		if c.hasCapacity(list[i]) {
+			best.add(i, c.cost(list[i]), draw)
+		}
 	}
-	return c.lowestCost(list, all, draw)
+	return best.index
 }
 
-// sampleCandidates draws the indices of candidates that have capacity, did not
-// fail recently and did not have the request before.
-func (c Chooser) sampleCandidates(list []Candidate, draw *rand.Rand) []int {
+// sampleCandidates appends the indices of candidates, drawn at random, that have capacity,
+// did not fail recently and did not have the request before.
+func (c Chooser) sampleCandidates(sample []int, list []Candidate, draw *rand.Rand) []int {
 	size := c.SampleSize
 	if size == 0 {
 		size = defaultSampleSize
 	}
-	var sameZone, otherZones []int
-	for i, k := range list {
+	sameZone, otherZones, other := 0, 0, 0
+	for i := range list {
+		k := &list[i]
 		switch {
-		case !c.hasCapacity(k) || k.Suspect || k.Tried:
+		case !c.hasCapacity(*k) || k.Suspect || k.Tried:
 		case k.SameZone:
-			sameZone = append(sameZone, i)
+			sameZone++
+			if len(sample) < size {
+				sample = append(sample, i)
+			} else if j := draw.IntN(sameZone); j < size {
+				sample[j] = i
+			}
 		default:
-			otherZones = append(otherZones, i)
+			otherZones++
+			if draw.IntN(otherZones) < crossZoneSampleSize {
+				other = i
+			}
 		}
 	}
-	return append(drawSample(sameZone, size, draw), drawSample(otherZones, crossZoneSampleSize, draw)...)
+	if otherZones > 0 {
+		sample = append(sample, other)
+	}
+	return sample
 }
 
-// drawSample draws up to size elements of the list without replacement. It
-// reorders the list.
-func drawSample(list []int, size int, draw *rand.Rand) []int {
-	size = min(size, len(list))
-	for i := range size {
-		k := i + draw.IntN(len(list)-i)
-		list[i], list[k] = list[k], list[i]
-	}
-	return list[:size]
+// lowest is the index of the candidate with the lowest cost so far, or -1.
+type lowest struct {
+	index, ties int
+	cost        float64
 }
 
-// lowestCost returns the index with the lowest cost among the given indices of
-// candidates, or -1 if none has capacity. Ties are broken at random.
-func (c Chooser) lowestCost(list []Candidate, indices []int, draw *rand.Rand) int {
-	best, ties := -1, 0
-	var lowest float64
-	for _, i := range indices {
-		if !c.hasCapacity(list[i]) {
-			continue
-		}
-		cost := c.cost(list[i])
-		switch {
-		case best < 0 || cost < lowest:
-			best, lowest, ties = i, cost, 1
-		case cost == lowest:
-			ties++
-			if draw.IntN(ties) == 0 {
-				best = i
-			}
+// add compares a candidate with the lowest one. Ties are broken at random.
+func (l *lowest) add(i int, cost float64, draw *rand.Rand) {
+	switch {
+	case l.index < 0 || cost < l.cost:
+		*l = lowest{index: i, ties: 1, cost: cost}
+	case cost == l.cost:
+		l.ties++
+		if draw.IntN(l.ties) == 0 {
+			l.index = i
 		}
 	}
-	return best
 }
 
 func (c Chooser) hasCapacity(k Candidate) bool {
@@ -126,6 +138,9 @@
 // cost returns the cost of sending a request to the candidate, in requests.
 func (c Chooser) cost(k Candidate) float64 {
 	cost := float64(k.InFlight)
+	if c.ByWork {
+		cost = workWeight*k.Work + (1-workWeight)*cost
+	}
 	if !k.SameZone {
 		cost += c.crossZoneCost()
 	}
--- a/internal/run/chiverelay/dialect.go
+++ b/internal/run/chiverelay/dialect.go
@@ -5,6 +5,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/chiveyoke/chiveyoke/internal/policy/chivecost"
 )
 
 // Request holds the values of a caller's request header.
@@ -20,6 +22,8 @@
 	// Cost is the expected cost of the request, in the unit of its service; 0 if
 	// the caller does not state it.
 	Cost float64
+	// Stated holds what the caller says of the lengths of its prompt and its answer.
+	Stated chivecost.Statement
 	// Parts holds the IDs of those parts of the prompt that other prompts may share.
 	Parts []string
 }
--- a/internal/state/chivefleet/config.go
+++ b/internal/state/chivefleet/config.go
@@ -8,6 +8,8 @@
 	"sort"
 	"strings"
 	"time"
+
+	"github.com/chiveyoke/chiveyoke/internal/policy/chivecost"
 )
 
 // Config is one accepted version of the operators' configuration. It is
@@ -87,6 +89,8 @@
 	ColdRate float64
 	// Engine is nil for plain services.
 	Engine *Engine
+	// Scale is that of the service's requests if they are balanced by their work, else nil.
+	Scale *chivecost.Scale
 }
 
 // Engine describes the model runners of a service.
