Estimate the work of requests, tell it to peers and choose by it

Requests counted as one each. Where a service has a scale, a request's work is estimated from its route, its stated maximum and its hint, falls as events pass, is told in one byte for each runner and is charged to its workspace, corrected at the end.

--- a/internal/run/chiveentry/daemon.go
+++ b/internal/run/chiveentry/daemon.go
@@ -183,7 +183,7 @@
 	d.mesh = &chivemesh.Mesh{
 		Self: settings.Entry, Fleet: d.fleet, SinceStoreAnswer: d.source.SinceStoreAnswer, Revisions: d.tableRevisions, Load: d.load, HoldsMapDuty: d.balancer.HoldsDuty, SlowRunners: runners.LocalSlowRunners,
 		OnReport: func(source string, load chivemesh.Load, slow map[string]float64) {
-			runners.SetPeerLoad(source, load.InFlight)
+			runners.SetPeerLoad(source, load.InFlight, load.Work)
 			runners.SetSlowRunners(source, slow)
 			runners.SetPeerUsage(source, load.Served)
 			d.source.NotifyReport()
@@ -207,7 +207,7 @@
 
 // load returns the load and usage that this entry VM reports to others.
 func (d *Daemon) load() chivemesh.Load {
-	return chivemesh.Load{InFlight: d.relay.State.LocalLoad(), Served: d.relay.State.WorkspaceUsage()}
+	return chivemesh.Load{InFlight: d.relay.State.LocalLoad(), Work: d.relay.State.LocalWork(), Served: d.relay.State.WorkspaceUsage()}
 }
 
 // Run serves until the context ends. It then waits for the running requests, at most
--- a/internal/run/chiveentry/metrics.go
+++ b/internal/run/chiveentry/metrics.go
@@ -17,6 +17,9 @@
 	time.Second, 2 * time.Second, 4 * time.Second, 8 * time.Second,
 }
 
+// workRatioBuckets holds the upper bounds of the histogram of actual by estimated work.
+var workRatioBuckets = tally.ValueBuckets{0.25, 0.5, 0.8, 0.95, 1.05, 1.25, 2, 4}
+
 // recordOutcome updates the request metrics with the outcome of a request.
 func (d *Daemon) recordOutcome(o chiverelay.Outcome) {
 	scope := d.meter.Scope.Tagged(map[string]string{
@@ -27,6 +30,9 @@
 	if o.Unbounded > 0 {
 		scope.Counter("answers_unbounded").Inc(int64(o.Unbounded))
 	}
+	if o.EstimatedWork > 0 && o.ActualWork > 0 {
+		d.meter.Scope.Histogram("work_actual_by_estimate", workRatioBuckets).RecordValue(o.ActualWork / o.EstimatedWork)
+	}
 	if o.Status < 300 && o.Status > 0 {
 		kind := d.meter.Scope.Tagged(map[string]string{"kind": o.Kind})
 		kind.Histogram("first_seconds", latencyBuckets).RecordDuration(o.FirstLatency)
@@ -52,6 +58,12 @@
 	for _, n := range d.relay.State.LocalLoad() {
 		busy += n
 	}
+	work, mostWork := 0.0, 0.0
+	for _, w := range d.relay.State.LocalWork() {
+		work, mostWork = work+w, max(mostWork, w)
+	}
+	s.Gauge("work_left").Update(work)
+	s.Gauge("work_left_most").Update(mostWork)
 	s.Gauge("runners_usable").Update(float64(runners))
 	leaving, paused := d.relay.State.NoticeCounts()
 	s.Gauge("runners_said_leaving").Update(float64(leaving))
--- a/internal/run/chivemesh/mesh.go
+++ b/internal/run/chivemesh/mesh.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/charmbracelet/log"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/zeebo/errs"
 
 	"github.com/chiveyoke/chiveyoke/internal/run/chivehub"
@@ -238,7 +237,7 @@
 	fleet := m.Fleet()
 	report := m.buildReport(fleet)
 	for _, p := range m.roundPackets(fleet, report) {
-		data, err := cbor.Marshal(&p.packet)
+		data, err := encode(&p.packet)
 		if err != nil {
 			m.Log.Error("Packet cannot be encoded.", "error", err)
 			return
--- a/internal/run/chivemesh/message.go
+++ b/internal/run/chivemesh/message.go
@@ -95,6 +95,10 @@
 type Load struct {
 	// InFlight is the number of requests in flight at each runner, by its ID.
 	InFlight map[string]int `cbor:"busy,omitempty"`
+	// Work is the work left of these requests, in usual requests by runner ID; nil if it is
+	// not estimated. PackedWork is its form in messages.
+	Work       map[string]float64 `cbor:"-"`
+	PackedWork []byte             `cbor:"work,omitempty"`
 	// Served is the recent usage of workspaces, as cost per second by service and
 	// workspace.
 	Served map[string]map[string]float64 `cbor:"served,omitempty"`
@@ -102,7 +106,7 @@
 
 // clone returns a deep copy.
 func (l *Load) clone() Load {
-	c := Load{InFlight: maps.Clone(l.InFlight), Served: map[string]map[string]float64{}}
+	c := Load{InFlight: maps.Clone(l.InFlight), Work: maps.Clone(l.Work), Served: map[string]map[string]float64{}}
 	for service, rates := range l.Served {
 		c.Served[service] = maps.Clone(rates)
 	}
@@ -111,6 +115,7 @@
 
 // add adds the load of another entry VM.
 func (l *Load) add(o *Load) {
+	l.addWork(o)
 	for id, n := range o.InFlight {
 		l.InFlight[id] += n
 	}
@@ -165,12 +170,12 @@
 	}
 	switch {
 	case p.Report != nil && p.Digest == nil:
-		return &p, errors.Join(p.Report.Header.validate(), p.Report.Facts.validate())
+		return &p, errors.Join(p.Report.Header.validate(), p.Report.Facts.validate(), p.Report.unpack())
 	case p.Digest != nil && p.Report == nil:
 		if p.Digest.Zone == "" || p.Digest.RelayDelay < 0 {
 			return nil, errors.New("digest has no zone or a negative relay delay")
 		}
-		return &p, errors.Join(p.Digest.Header.validate(), p.Digest.Facts.validate())
+		return &p, errors.Join(p.Digest.Header.validate(), p.Digest.Facts.validate(), p.Digest.unpack())
 	}
 	return nil, errors.New("datagram does not hold exactly one report or digest")
 }
--- a/internal/run/chiverelay/attempt.go
+++ b/internal/run/chiverelay/attempt.go
@@ -148,7 +148,7 @@
 		return attemptFailed
 	}
 	if x.workspace != nil && !x.mayHaveRun {
-		x.relay.State.addUsage(x.service.Name, x.workspace.Name, max(1, x.request.Cost))
+		x.relay.State.addUsage(x.service.Name, x.workspace.Name, x.chargeWork())
 	}
 	x.mayHaveRun = true
 	ok := resp.StatusCode >= http.StatusOK && resp.StatusCode < http.StatusMultipleChoices
@@ -242,6 +242,7 @@
 			return callerGone
 		}
 		x.lastEvent = max(x.lastEvent, e.ID)
+		x.noteProgress()
 	}
 }
 
--- a/internal/run/chiverelay/fair_share.go
+++ b/internal/run/chiverelay/fair_share.go
@@ -32,7 +32,7 @@
 	if x.workspace != nil && x.relay.State.overShare(x.service.Name, x.workspace.Name) {
 		queue = int(overShareQueueFraction * float64(queue))
 	}
-	return chivechoice.Chooser{QueueLimit: queue}
+	return chivechoice.Chooser{QueueLimit: queue, ByWork: x.service.Scale != nil}
 }
 
 // overShare reports whether a workspace has recently used more than its share of a
--- a/internal/run/chiverelay/load_book.go
+++ b/internal/run/chiverelay/load_book.go
@@ -23,6 +23,9 @@
 type peerLoad struct {
 	receivedAt chiveclock.Moment
 	inFlight   map[string]int
+	// work is the work left of these requests, in usual requests, by runner ID; nil if the
+	// source does not report it.
+	work map[string]float64
 }
 
 func newLoadBook() loadBook {
@@ -30,8 +33,8 @@
 }
 
 // setPeer replaces the load that a source reported.
-func (b *loadBook) setPeer(source string, inFlight map[string]int, now chiveclock.Moment) {
-	b.peers[source] = peerLoad{receivedAt: now, inFlight: inFlight}
+func (b *loadBook) setPeer(source string, inFlight map[string]int, work map[string]float64, now chiveclock.Moment) {
+	b.peers[source] = peerLoad{receivedAt: now, inFlight: inFlight, work: work}
 }
 
 // reserve counts one more local request at a runner.
@@ -62,6 +65,22 @@
 	return n
 }
 
+// peerWork returns the work that other entry VMs have left at a runner. Each request of those
+// that do not report it counts as a usual one.
+func (b *loadBook) peerWork(id string, now chiveclock.Moment) float64 {
+	work := 0.0
+	for _, p := range b.peers {
+		switch {
+		case now.Sub(p.receivedAt) >= peerLoadMaxAge:
+		case p.work != nil:
+			work += p.work[id]
+		default:
+			work += float64(p.inFlight[id])
+		}
+	}
+	return work
+}
+
 // prune drops outdated reports.
 func (b *loadBook) prune(now chiveclock.Moment) {
 	for source, p := range b.peers {
--- a/internal/run/chiverelay/migrate.go
+++ b/internal/run/chiverelay/migrate.go
@@ -33,6 +33,10 @@
 	reserveNext func() *chivefleet.Runner
 	// cancel aborts the attempt.
 	cancel context.CancelFunc
+	// left is the work that is left of the request, 0 if it is not estimated.
+	left workLeft
+	// startedAt is when the attempt began.
+	startedAt chiveclock.Moment
 
 	mu    sync.Mutex
 	ended bool
@@ -117,7 +121,7 @@
 // be migrated if the request is a resumable stream and both the route and the retry
 // budget allow another attempt.
 func (x *exchange) newInflightAttempt(runner *chivefleet.Runner, cancel context.CancelFunc) *inflightAttempt {
-	a := &inflightAttempt{cancel: cancel, reserveNext: func() *chivefleet.Runner { return nil }}
+	a := &inflightAttempt{startedAt: chiveclock.Now(), cancel: cancel, reserveNext: func() *chivefleet.Runner { return nil }}
 	// x.attempts does not include this attempt until it is sent.
 	if x.route.Kind != chivefleet.Streaming || !x.route.Resumable || x.attempts+1 >= x.route.MaxAttempts {
 		return a
--- a/internal/run/chiverelay/relay.go
+++ b/internal/run/chiverelay/relay.go
@@ -10,6 +10,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/chiveyoke/chiveyoke/internal/peer/chiverunner"
+	"github.com/chiveyoke/chiveyoke/internal/policy/chivecost"
 	"github.com/chiveyoke/chiveyoke/internal/policy/chiveverdict"
 	"github.com/chiveyoke/chiveyoke/internal/state/chiveclock"
 	"github.com/chiveyoke/chiveyoke/internal/state/chivefleet"
@@ -43,7 +44,9 @@
 	Crashes CrashGuard
 	// Rates keeps requests within the rates that runners name.
 	Rates RateCaps
-	Log   *log.Logger
+	// Work estimates the work of requests to services that are balanced by it.
+	Work WorkBook
+	Log  *log.Logger
 	// Zone is the availability zone of this entry VM.
 	Zone string
 	// Fleet returns the newest view of the fleet.
@@ -72,6 +75,9 @@
 	// first event, other responses once they are complete. TotalLatency is the time
 	// to the end of the response.
 	FirstLatency, TotalLatency time.Duration
+	// EstimatedWork and ActualWork are in usual requests, 0 for requests that are not
+	// estimated or did not end well.
+	EstimatedWork, ActualWork float64
 }
 
 // DisableKeepAlives closes the connection of each caller after its next response.
@@ -107,8 +113,14 @@
 	route       *chivefleet.Route
 	service     *chivefleet.Service
 	workspace   *chivefleet.Workspace
-	// work is the expected work of the request, in usual requests of the service.
-	work float64
+	// work is the expected work of the request, in usual requests of the service. estimate
+	// holds what it rests on if the service is balanced by work, and charged the work that the
+	// workspace was charged with.
+	work     float64
+	estimate chivecost.Estimate
+	charged  float64
+	// current is the latest attempt.
+	current *inflightAttempt
 
 	// tried holds the IDs of the runners that were tried, including those that
 	// could not be reached.
@@ -170,6 +182,7 @@
 	for _, f := range x.onEnd {
 		f()
 	}
+	x.learnWork()
 	x.reportOutcome()
 }
 
@@ -179,6 +192,7 @@
 	x.fingerprint = fingerprint(x.workspaceName(), x.r.Method, x.r.Host, x.r.RequestURI, x.body)
 	x.relay.State.CountRequest(x.service.Name)
 	x.relay.Crashes.countRequest(x.suspects())
+	x.estimateWork()
 	ctx, cancel := context.WithTimeout(x.r.Context(), chiveclock.Until(x.deadline))
 	defer cancel()
 	var runner *chivefleet.Runner
@@ -219,6 +233,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	a := x.newInflightAttempt(runner, cancel)
+	x.current = a
+	x.noteProgress()
 	x.relay.State.addInflight(runner.ID, a)
 	done = x.attempt(ctx, runner)
 	next = x.relay.State.removeInflight(runner.ID, a)
@@ -383,14 +399,21 @@
 	if x.route != nil {
 		o.Route, o.Kind = x.route.Name, x.route.Kind.String()
 	}
+	if x.estimate.Answer > 0 && x.cause == "" {
+		o.EstimatedWork, o.ActualWork = x.work, x.actualWork()
+	}
 	if x.relay.Observe != nil {
 		x.relay.Observe(o)
 	}
+	logger := x.relay.Log
+	if x.estimate.Answer > 0 {
+		logger = logger.With(x.workFields()...)
+	}
 	text := "Request failed."
 	if x.cause == "" {
 		text = "Request served."
 	}
-	x.relay.Log.Info(text, "request", x.request.ID, "route", o.Route, "workspace", x.workspaceName(), "status", o.Status,
+	logger.Info(text, "request", x.request.ID, "route", o.Route, "workspace", x.workspaceName(), "status", o.Status,
 		"verdict", o.Verdict, "cause", x.cause, "runner", x.runnerID, "attempts", o.Attempts, "event", x.lastEvent, "first", formatMillis(o.FirstLatency),
 		"took", formatMillis(o.TotalLatency), "version", x.configVersion(), "age", x.configAge())
 }
--- a/internal/run/chiverelay/runner_state.go
+++ b/internal/run/chiverelay/runner_state.go
@@ -96,11 +96,12 @@
 }
 
 // SetPeerLoad replaces the load reported by another entry VM or availability zone:
-// its in-flight requests by runner ID.
-func (rs *RunnerState) SetPeerLoad(source string, inFlight map[string]int) {
+// its in-flight requests by runner ID and the work left of them, nil if it does not report
+// work.
+func (rs *RunnerState) SetPeerLoad(source string, inFlight map[string]int, work map[string]float64) {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
-	rs.loads.setPeer(source, inFlight, chiveclock.Now())
+	rs.loads.setPeer(source, inFlight, work, chiveclock.Now())
 }
 
 // SetSlowRunners replaces the slow runners reported by a source, given as
@@ -300,7 +301,12 @@
 				slots = -c.QueueLimit
 			}
 		}
+		work := 0.0
+		if c.ByWork {
+			work = rs.workLeft(r.ID) + rs.loads.peerWork(r.ID, now)
+		}
 		candidates = append(candidates, chivechoice.Candidate{
+			Work:     work,
 			InFlight: rs.loads.total(r.ID, now), Slots: slots, SameZone: r.Zone == o.Zone,
 			Suspect: now < rs.suspectUntil[r.ID], Tried: o.Tried[r.ID],
 		})
