--- a/internal/policy/chivechoice/choice.go
+++ b/internal/policy/chivechoice/choice.go
@@ -9,7 +9,7 @@
 	// Counts of other entry VMs are as last reported.
 	InFlight int
 	// Work is the work left of these requests, in usual requests. It matters only to a
-	// Chooser with ByWork.
+	// Chooser with a WorkWeight.
 	Work float64
 	// Slots is the number of requests that the runner executes concurrently.
 	Slots int
@@ -38,10 +38,9 @@
 	// SampleSize is the number of candidates drawn in the zone of the entry VM, at most
 	// all; 0 means 4.
 	SampleSize int
-	// ByWork weighs the work left at a candidate as much as the number of its requests. All
-	// ranks of a group wait in each pass for the one that has most to do: the number tells
-	// what that is now, the work how long it lasts.
-	ByWork bool
+	// WorkWeight is the weight, from 0 to 1, of the work left at a candidate against the number
+	// of its requests.
+	WorkWeight float64
 }
 
 const (
@@ -49,9 +48,6 @@
 	defaultCrossZoneCost = 1.5
 	suspectCost          = 1000
 	triedCost            = 5000
-	// workWeight is the weight of the work left at a candidate, against the number of its
-	// requests.
-	workWeight = 0.5
 	// defaultSampleSize comes close to the least loaded runner where reports are
 	// fresh and causes little herding where they are stale
 	// (TestHerdingOnStaleReports).
@@ -138,8 +134,8 @@
 // cost returns the cost of sending a request to the candidate, in requests.
 func (c Chooser) cost(k Candidate) float64 {
 	cost := float64(k.InFlight)
-	if c.ByWork {
-		cost = workWeight*k.Work + (1-workWeight)*cost
+	if c.WorkWeight > 0 {
+		cost = c.WorkWeight*k.Work + (1-c.WorkWeight)*cost
 	}
 	if !k.SameZone {
 		cost += c.crossZoneCost()
--- a/internal/run/chiverelay/fair_share.go
+++ b/internal/run/chiverelay/fair_share.go
@@ -32,7 +32,11 @@
 	if x.workspace != nil && x.relay.State.overShare(x.service.Name, x.workspace.Name) {
 		queue = int(overShareQueueFraction * float64(queue))
 	}
-	return chivechoice.Chooser{QueueLimit: queue, ByWork: x.service.Scale != nil}
+	c := chivechoice.Chooser{QueueLimit: queue}
+	if x.service.Scale != nil {
+		c.WorkWeight = workWeight
+	}
+	return c
 }
 
 // overShare reports whether a workspace has recently used more than its share of a
--- a/internal/run/chiverelay/runner_state.go
+++ b/internal/run/chiverelay/runner_state.go
@@ -302,7 +302,7 @@
 			}
 		}
 		work := 0.0
-		if c.ByWork {
+		if c.WorkWeight > 0 {
 			work = rs.workLeft(r.ID) + rs.loads.peerWork(r.ID, now)
 		}
 		candidates = append(candidates, chivechoice.Candidate{
--- a/internal/run/chiverelay/work_book.go
+++ b/internal/run/chiverelay/work_book.go
@@ -11,6 +11,9 @@
 	"github.com/chiveyoke/chiveyoke/internal/state/chivefleet"
 )
 
+// workWeight is the weight of the work left at a runner against the number of its requests.
+const workWeight = 0.2
+
 // WorkBook holds what was learned of the work of requests, by service. The zero value is
 // empty. It is safe for concurrent use.
 type WorkBook struct {
