--- a/internal/policy/chivechoice/work_test.go
+++ b/internal/policy/chivechoice/work_test.go
@@ -122,7 +122,7 @@
 // by work alone. It may not lose against counting, also where expectations are wrong.
 func TestChooseByWork(t *testing.T) {
 	learned := func(r *rand.Rand, work float64) float64 { return work * math.Exp(0.25*r.NormFloat64()) }
-	lies := func(r *rand.Rand, work float64) float64 { return 2.5 * r.Float64() }
+	lies := func(r *rand.Rand, _ float64) float64 { return 2.5 * r.Float64() }
 	tests := []struct {
 		load workLoad
 		// bound is the largest mean wait, in that of counting.
--- a/internal/policy/chivecost/estimator_test.go
+++ b/internal/policy/chivecost/estimator_test.go
@@ -66,8 +66,8 @@
 		{"sound maxima and hints", 1, func(r *rand.Rand, a float64) Statement { return Statement{MaxAnswer: a, Hint: noisyHint(r, a)} }},
 		{"maxima of three times, hints", 1, func(r *rand.Rand, a float64) Statement { return Statement{MaxAnswer: 3 * a, Hint: noisyHint(r, a)} }},
 		{"the same maximum for all, hints", 1, func(r *rand.Rand, a float64) Statement { return Statement{MaxAnswer: 400, Hint: noisyHint(r, a)} }},
-		{"hints that lie", 1, func(r *rand.Rand, a float64) Statement { return Statement{Hint: 400 * r.Float64()} }},
-		{"a route unlike the usual", 0.3, func(r *rand.Rand, a float64) Statement { return Statement{Hint: 100} }},
+		{"hints that lie", 1, func(r *rand.Rand, _ float64) Statement { return Statement{Hint: 400 * r.Float64()} }},
+		{"a route unlike the usual", 0.3, func(*rand.Rand, float64) Statement { return Statement{Hint: 100} }},
 		{"all alike", 1, func(*rand.Rand, float64) Statement { return Statement{} }},
 	}
 	for _, l := range loads {
