Charge, expect and learn only what an exchange brings of a resumed answer

A caller that resumes with a large event ID was expected to take, and taught, up to 16 usual answers. The served line names the load of the runner when it was chosen.

--- a/internal/policy/chivecost/estimator_test.go
+++ b/internal/policy/chivecost/estimator_test.go
@@ -210,6 +210,8 @@
 		{"at its estimate", 100, true, 0.05, 0.15},
 		{"twice its estimate", 200, true, 0.25, 0.4},
 		{"resumed at another runner", 50, false, 0.5, 0.62},
+		{"more than any answer has", 1e18, false, 1, 5},
+		{"not a number", math.NaN(), true, 0.8, 0.95},
 	}
 	for _, tt := range tests {
 		if got := testScale.Left(x, tt.written, tt.read); got < tt.low || got > tt.high {
--- a/internal/policy/chivecost/left.go
+++ b/internal/policy/chivecost/left.go
@@ -13,6 +13,7 @@
 	if !s.Valid() || x.Answer == 0 {
 		return x.Work
 	}
+	written = size(written, s.UsualAnswer)
 	tokens := max(x.Answer-written, minLeft*x.Answer+outlastLeft*max(0, written-x.Answer))
 	if !read {
 		return s.Work(x.Prompt, tokens)
--- a/internal/run/chivemesh/work.go
+++ b/internal/run/chivemesh/work.go
@@ -61,7 +61,11 @@
 	p := *l
 	p.PackedWork = make([]byte, 0, len(l.InFlight))
 	for _, id := range slices.Sorted(maps.Keys(l.InFlight)) {
-		units := math.Ceil(l.Work[id] * workUnits)
+		work, ok := l.Work[id]
+		if !ok {
+			work = float64(l.InFlight[id])
+		}
+		units := math.Ceil(work * workUnits)
 		p.PackedWork = append(p.PackedWork, byte(max(0, min(units, math.MaxUint8))))
 	}
 	p.Served = make(map[string]map[string]float64, len(l.Served))
--- a/internal/run/chiverelay/migrate.go
+++ b/internal/run/chiverelay/migrate.go
@@ -134,7 +134,7 @@
 			return nil
 		}
 		options := x.reserveOptions()
-		options.Tried = tried
+		options.Tried, options.Choice = tried, nil
 		next := x.relay.State.Reserve(x.fleet.UsableRunners(x.service.Name), x.chooser(), options)
 		if next == nil {
 			return nil
@@ -152,6 +152,6 @@
 // request.
 func (x *exchange) reserveOptions() ReserveOptions {
 	return ReserveOptions{
-		Service: x.service, Zone: x.relay.Zone, Tried: x.tried, Rates: &x.relay.Rates, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Service: x.service, Zone: x.relay.Zone, Tried: x.tried, Rates: &x.relay.Rates, Choice: &x.choice, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
--- a/internal/run/chiverelay/relay.go
+++ b/internal/run/chiverelay/relay.go
@@ -10,6 +10,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/chiveyoke/chiveyoke/internal/peer/chiverunner"
+	"github.com/chiveyoke/chiveyoke/internal/policy/chivechoice"
 	"github.com/chiveyoke/chiveyoke/internal/policy/chivecost"
 	"github.com/chiveyoke/chiveyoke/internal/policy/chiveverdict"
 	"github.com/chiveyoke/chiveyoke/internal/state/chiveclock"
@@ -119,6 +120,8 @@
 	work     float64
 	estimate chivecost.Estimate
 	charged  float64
+	// choice is the runner that was chosen last, as it was then.
+	choice chivechoice.Candidate
 	// current is the latest attempt.
 	current *inflightAttempt
 
--- a/internal/run/chiverelay/runner_state.go
+++ b/internal/run/chiverelay/runner_state.go
@@ -265,6 +265,8 @@
 	Tried map[string]bool
 	// Rates limits the requests to runners that name a rate; nil limits none.
 	Rates *RateCaps
+	// Choice receives the runner that is picked as it was weighed, unless it is nil.
+	Choice *chivechoice.Candidate
 	// Rand is the source of random choices between runners.
 	Rand *rand.Rand
 }
@@ -319,6 +321,9 @@
 		}
 		if rs.admitSlowStart(remaining[i], o.Service, now) {
 			rs.loads.reserve(remaining[i].ID)
+			if o.Choice != nil {
+				*o.Choice = candidates[i]
+			}
 			if o.Rates != nil {
 				o.Rates.take(remaining[i])
 			}
--- a/internal/run/chiverelay/work_book.go
+++ b/internal/run/chiverelay/work_book.go
@@ -115,7 +115,7 @@
 		return
 	}
 	x.estimate = x.relay.Work.estimate(x.service, x.origin(), x.request.Stated)
-	x.work = x.estimate.Work
+	x.work = x.service.Scale.Left(x.estimate, x.written(), false)
 }
 
 // origin returns what the work of the request is learned by.
@@ -139,9 +139,10 @@
 	}
 }
 
-// actualWork returns the work of the answer as far as the caller has it.
+// actualWork returns the work of the answer as far as this exchange has brought it.
 func (x *exchange) actualWork() float64 {
-	return x.service.Scale.Work(x.estimate.Prompt, max(0, x.written()))
+	events := max(0, x.lastEvent-x.request.LastEvent)
+	return x.service.Scale.Work(x.estimate.Prompt, float64(events)*x.service.Scale.EventTokens)
 }
 
 // chargeWork returns the cost with which the workspace is charged when the request starts:
@@ -167,22 +168,26 @@
 // learnWork compares the estimate with the answer, and corrects what the workspace was
 // charged with.
 func (x *exchange) learnWork() {
-	if x.estimate.Answer == 0 || x.charged == 0 && x.lastEvent <= x.request.LastEvent {
+	if x.estimate.Answer == 0 {
 		return
 	}
-	complete := x.cause == "" && x.status > 0
-	x.relay.Work.learn(x.service, x.origin(), x.estimate, x.written(), complete)
+	if x.lastEvent > x.request.LastEvent {
+		x.relay.Work.learn(x.service, x.origin(), x.estimate, x.written(), x.cause == "")
+	}
 	if x.charged > 0 {
 		x.relay.State.addUsage(x.service.Name, x.workspace.Name, (x.actualWork()-x.charged)*usualCost(x.service.Scale))
 	}
 }
 
-// workFields returns the log fields of the work of the request: the estimate, the actual work
-// if the answer has begun, the steps of the answer that were expected and the pieces of its
-// prompt, and the work left at the runner when it was chosen.
+// workFields returns the log fields of the work of the request: the estimate and what it rests
+// on, the requests and the work at the runner when it was chosen, and the actual work if the
+// answer has begun.
 func (x *exchange) workFields() []any {
-	fields := []any{"work", round(x.work), "steps", math.Round(x.estimate.Answer), "pieces", x.estimate.Pieces, "said", x.request.Stated}
-	if x.lastEvent >= 0 {
+	fields := []any{
+		"work", round(x.work), "steps", math.Round(x.estimate.Answer), "pieces", x.estimate.Pieces, "said", x.request.Stated,
+		"busy", x.choice.InFlight, "left", round(x.choice.Work),
+	}
+	if x.lastEvent > x.request.LastEvent {
 		fields = append(fields, "actual", round(x.actualWork()))
 	}
 	return fields
--- a/internal/run/chiverelay/work_book_test.go
+++ b/internal/run/chiverelay/work_book_test.go
@@ -133,6 +133,31 @@
 	}
 }
 
+// TestResumedRequests checks the expected work of requests whose callers say that they have part
+// of the answer: the prompt and the rest, at most what the longest answer takes.
+func TestResumedRequests(t *testing.T) {
+	tests := []struct {
+		give      string
+		lastEvent int64
+		low, high float64
+	}{
+		{"from the start", -1, 0.9, 1.1},
+		{"half of the usual answer", 5, 0.5, 0.65},
+		{"more than any answer has", math.MaxInt64 - 1, 0.2, 5},
+	}
+	for _, tt := range tests {
+		x := &exchange{relay: &Relay{}, route: &chivefleet.Route{Name: "r"}, service: &chivefleet.Service{Name: "s", Scale: &testScale}, lastEvent: tt.lastEvent, request: Request{LastEvent: tt.lastEvent}}
+		x.estimateWork()
+		if !(x.work >= tt.low && x.work <= tt.high) {
+			t.Errorf("%s: work %v, want %v to %v", tt.give, x.work, tt.low, tt.high)
+		}
+		x.learnWork()
+		if got := x.relay.Work.estimate(x.service, x.origin(), chivecost.Statement{}); got.Answer != x.estimate.Answer {
+			t.Errorf("%s: learned %.0f tokens from a request without an event", tt.give, got.Answer)
+		}
+	}
+}
+
 // TestPeerWork checks the work that Reserve weighs of reports: of a peer that does not tell
 // work, each request counts as a usual one, and slots are compared with counts.
 func TestPeerWork(t *testing.T) {
