--- a/internal/policy/chivecost/estimator_test.go
+++ b/internal/policy/chivecost/estimator_test.go
@@ -53,6 +53,21 @@
 	statement func(r *rand.Rand, actual float64) Statement
 }
 
+// answerLoads are the loads of the tests of errors.
+var answerLoads = []answerLoad{
+	{"sound maxima and hints", 1, func(r *rand.Rand, a float64) Statement { return Statement{MaxAnswer: a, Hint: noisyHint(r, a)} }},
+	{"maxima of three times, hints", 1, func(r *rand.Rand, a float64) Statement { return Statement{MaxAnswer: 3 * a, Hint: noisyHint(r, a)} }},
+	{"the same maximum for all, hints", 1, func(r *rand.Rand, a float64) Statement { return Statement{MaxAnswer: 400, Hint: noisyHint(r, a)} }},
+	{"hints that lie", 1, func(r *rand.Rand, _ float64) Statement { return Statement{Hint: 400 * r.Float64()} }},
+	{"a route unlike the usual", 0.3, func(*rand.Rand, float64) Statement { return Statement{Hint: 100} }},
+	{"all alike", 1, func(*rand.Rand, float64) Statement { return Statement{} }},
+}
+
+// noisyHint is right at the median and often far off.
+func noisyHint(r *rand.Rand, actual float64) float64 {
+	return actual * math.Exp(0.5*r.NormFloat64())
+}
+
 // lengthOf draws a length from a heavy tail, at most 2.5 times the mean.
 func lengthOf(r *rand.Rand, mean float64) float64 {
 	return max(5, min(2.5*mean, mean*0.75*math.Exp(0.8*r.NormFloat64())))
@@ -61,16 +76,7 @@
 // TestEstimateError compares the errors of estimates with those of three twins: each request
 // counts as usual, the stated maximum is believed, and the hint is believed.
 func TestEstimateError(t *testing.T) {
-	noisyHint := func(r *rand.Rand, actual float64) float64 { return actual * math.Exp(0.5*r.NormFloat64()) }
-	loads := []answerLoad{
-		{"sound maxima and hints", 1, func(r *rand.Rand, a float64) Statement { return Statement{MaxAnswer: a, Hint: noisyHint(r, a)} }},
-		{"maxima of three times, hints", 1, func(r *rand.Rand, a float64) Statement { return Statement{MaxAnswer: 3 * a, Hint: noisyHint(r, a)} }},
-		{"the same maximum for all, hints", 1, func(r *rand.Rand, a float64) Statement { return Statement{MaxAnswer: 400, Hint: noisyHint(r, a)} }},
-		{"hints that lie", 1, func(r *rand.Rand, _ float64) Statement { return Statement{Hint: 400 * r.Float64()} }},
-		{"a route unlike the usual", 0.3, func(*rand.Rand, float64) Statement { return Statement{Hint: 100} }},
-		{"all alike", 1, func(*rand.Rand, float64) Statement { return Statement{} }},
-	}
-	for _, l := range loads {
+	for _, l := range answerLoads {
 		r, e := rand.New(rand.NewPCG(8, 1)), Estimator{Scale: testScale}
 		var got, counted, stated, hinted float64
 		for i := range 1200 {
@@ -93,6 +99,30 @@
 	}
 }
 
+// TestColdStart checks the first ten answers of a service: their estimates are no worse than
+// counting each request as usual, also where hints lie.
+func TestColdStart(t *testing.T) {
+	for _, l := range answerLoads {
+		r := rand.New(rand.NewPCG(5, 5))
+		var got, counted float64
+		for range 200 {
+			e := Estimator{Scale: testScale}
+			for i := range 10 {
+				actual := lengthOf(r, l.mean*testScale.UsualAnswer)
+				o := Origin{Route: "r", Workspace: "w"}
+				x := e.Estimate(time.Duration(i)*time.Second, o, l.statement(r, actual))
+				got += math.Abs(x.Answer - actual)
+				counted += math.Abs(testScale.UsualAnswer - actual)
+				e.Learn(time.Duration(i)*time.Second, o, x, actual, true)
+			}
+		}
+		t.Logf("%s: error %.1f, counting %.1f", l.give, got/2000, counted/2000)
+		if got > 1.05*counted {
+			t.Errorf("%s: error %.1f, want at most that of counting, %.1f", l.give, got/2000, counted/2000)
+		}
+	}
+}
+
 func orUsual(tokens float64) float64 {
 	if tokens == 0 {
 		return testScale.UsualAnswer
--- a/internal/policy/chivecost/source.go
+++ b/internal/policy/chivecost/source.go
@@ -28,8 +28,8 @@
 )
 
 // priorSpreads holds the spread of each source before any answer has ended. What callers
-// say counts for little until it has proved right.
-var priorSpreads = [sourceCount]float64{fromUsual: 0.25, fromMaximum: 6, fromHint: 6}
+// say counts for little until it has proved right, a maximum for less than a hint.
+var priorSpreads = [sourceCount]float64{fromUsual: 0.25, fromMaximum: 3, fromHint: 1.5}
 
 // record holds how far a source was off: the mean and the variance of the logarithms of
 // actual by said length, and their weight in answers.
