--- a/internal/run/chiverelay/admission_test.go
+++ b/internal/run/chiverelay/admission_test.go
@@ -58,7 +58,7 @@
 			}
 			rs := s.relay.State
 			rs.SetEntries(c.entries)
-			rs.SetPeerLoad("f", c.load)
+			rs.SetPeerLoad("f", c.load, nil)
 			rs.AdjustLimits(fleet)
 			got := s.send(context.Background(), t, "/once/x", "a", "")
 			if got.status != c.status {
@@ -70,7 +70,7 @@
 			if c.ranked != (len(rs.Rooms()) == 1) {
 				t.Errorf("rooms %v", rs.Rooms())
 			}
-			rs.SetPeerLoad("f", nil)
+			rs.SetPeerLoad("f", nil, nil)
 			rs.AdjustLimits(fleet)
 			time.Sleep(10 * time.Millisecond)
 			if got := s.send(context.Background(), t, "/once/x", "b", ""); got.status != http.StatusOK {
--- a/internal/run/chiverelay/migrate.go
+++ b/internal/run/chiverelay/migrate.go
@@ -33,6 +33,10 @@
 	reserveNext func() *chivefleet.Runner
 	// cancel aborts the attempt.
 	cancel context.CancelFunc
+	// left is the work that is left of the request, 0 if it is not estimated.
+	left workLeft
+	// startedAt is when the attempt began.
+	startedAt chiveclock.Moment
 
 	mu    sync.Mutex
 	ended bool
@@ -117,7 +121,7 @@
 // be migrated if the request is a resumable stream and both the route and the retry
 // budget allow another attempt.
 func (x *exchange) newInflightAttempt(runner *chivefleet.Runner, cancel context.CancelFunc) *inflightAttempt {
-	a := &inflightAttempt{cancel: cancel, reserveNext: func() *chivefleet.Runner { return nil }}
+	a := &inflightAttempt{startedAt: chiveclock.Now(), cancel: cancel, reserveNext: func() *chivefleet.Runner { return nil }}
 	// x.attempts does not include this attempt until it is sent.
 	if x.route.Kind != chivefleet.Streaming || !x.route.Resumable || x.attempts+1 >= x.route.MaxAttempts {
 		return a
@@ -130,7 +134,7 @@
 			return nil
 		}
 		options := x.reserveOptions()
-		options.Tried = tried
+		options.Tried, options.Choice = tried, nil
 		next := x.relay.State.Reserve(x.fleet.UsableRunners(x.service.Name), x.chooser(), options)
 		if next == nil {
 			return nil
@@ -148,6 +152,6 @@
 // request.
 func (x *exchange) reserveOptions() ReserveOptions {
 	return ReserveOptions{
-		Service: x.service, Zone: x.relay.Zone, Tried: x.tried, Rates: &x.relay.Rates, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Service: x.service, Zone: x.relay.Zone, Tried: x.tried, Rates: &x.relay.Rates, Choice: &x.choice, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
--- a/internal/run/chiverelay/runner_state.go
+++ b/internal/run/chiverelay/runner_state.go
@@ -98,11 +98,12 @@
 }
 
 // SetPeerLoad replaces the load reported by another entry VM or availability zone:
-// its in-flight requests by runner ID.
-func (rs *RunnerState) SetPeerLoad(source string, inFlight map[string]int) {
+// its in-flight requests by runner ID and the work left of them, nil if it does not report
+// work.
+func (rs *RunnerState) SetPeerLoad(source string, inFlight map[string]int, work map[string]float64) {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
-	rs.loads.setPeer(source, inFlight, chiveclock.Now())
+	rs.loads.setPeer(source, inFlight, work, chiveclock.Now())
 }
 
 // SetSlowRunners replaces the slow runners reported by a source, given as
@@ -283,6 +284,8 @@
 	Tried map[string]bool
 	// Rates limits the requests to runners that name a rate; nil limits none.
 	Rates *RateCaps
+	// Choice receives the runner that is picked as it was weighed, unless it is nil.
+	Choice *chivechoice.Candidate
 	// Rand is the source of random choices between runners.
 	Rand *rand.Rand
 }
@@ -319,7 +322,12 @@
 				slots = -c.QueueLimit
 			}
 		}
+		work := 0.0
+		if c.WorkWeight > 0 {
+			work = rs.workLeft(r.ID) + rs.loads.peerWork(r.ID, now)
+		}
 		candidates = append(candidates, chivechoice.Candidate{
+			Work:     work,
 			InFlight: rs.loads.total(r.ID, now), Slots: slots, SameZone: r.Zone == o.Zone,
 			Suspect: now < rs.suspectUntil[r.ID], Tried: o.Tried[r.ID],
 		})
@@ -332,6 +340,9 @@
 		}
 		if rs.admitSlowStart(remaining[i], o.Service, now) {
 			rs.loads.reserve(remaining[i].ID)
+			if o.Choice != nil {
+				*o.Choice = candidates[i]
+			}
 			if o.Rates != nil {
 				o.Rates.take(remaining[i])
 			}
--- a/internal/state/chivefleet/config.go
+++ b/internal/state/chivefleet/config.go
@@ -9,6 +9,8 @@
 	"sort"
 	"strings"
 	"time"
+
+	"github.com/chiveyoke/chiveyoke/internal/policy/chivecost"
 )
 
 // Config is one accepted version of the operators' configuration. It is
@@ -95,6 +97,8 @@
 	Ranked bool
 
 	urgencies map[urgency]int
+	// Scale is that of the service's requests if they are balanced by their work, else nil.
+	Scale *chivecost.Scale
 }
 
 // Engine describes the model runners of a service.
