--- a/internal/run/chiverelay/admission.go
+++ b/internal/run/chiverelay/admission.go
@@ -20,6 +20,9 @@
 	// reportDelay is the usual age of a load report's content when it arrives: digests sum up
 	// reports of the last half second.
 	reportDelay = 100 * time.Millisecond
+	// formingFraction is the part of the slots of a group that is being formed for which
+	// requests may wait.
+	formingFraction = 0.5
 )
 
 // admissions decides which requests are let in at services whose requests differ in
@@ -35,12 +38,26 @@
 	chiveadmit.Gate
 	fill chiveadmit.FillLimiter
 	// refused counts the requests refused and offered counts all since loggedAt, by class.
-	refused, offered map[string]int
+	refused, offered map[requestClass]int
 	loggedAt         chiveclock.Moment
-	// limits holds the limits per runner by pauses and by loads, for logs.
+	// byPauses and byLoads are the limits by pauses and by loads, for logs.
 	byPauses, byLoads float64
 }
 
+// requestClass is what counts for the order of admission.
+type requestClass struct {
+	urgency   int
+	overShare bool
+}
+
+// String returns the name of the class in logs.
+func (c requestClass) String() string {
+	if c.overShare {
+		return strconv.Itoa(c.urgency) + "-over"
+	}
+	return strconv.Itoa(c.urgency)
+}
+
 // gate returns the gate of a service, created on first use. The caller must hold mu.
 func (a *admissions) gate(service string) *serviceGate {
 	g := a.gates[service]
@@ -60,23 +77,24 @@
 	defer a.mu.Unlock()
 	g := a.gate(service)
 	admission := g.Admit(time.Duration(chiveclock.Now()), d)
-	if g.refused == nil {
-		g.refused, g.offered = map[string]int{}, map[string]int{}
+	class := requestClass{d.Urgency, d.OverShare}
+	if g.offered == nil {
+		g.refused, g.offered = map[requestClass]int{}, map[requestClass]int{}
 	}
-	g.offered[className(d)]++
+	g.offered[class]++
 	if !admission.Admitted {
-		g.refused[className(d)]++
+		g.refused[class]++
 	}
 	return admission
 }
 
-// className returns the name of the class of a request in logs.
-func className(d chiveadmit.Demand) string {
-	name := strconv.Itoa(d.Urgency)
-	if d.OverShare {
-		name += "-over"
+// nameClasses returns counts by the names of their classes.
+func nameClasses(counts map[requestClass]int) map[string]int {
+	named := make(map[string]int, len(counts))
+	for c, n := range counts {
+		named[c.String()] = n
 	}
-	return name
+	return named
 }
 
 // end counts the end of an admitted request.
@@ -134,7 +152,7 @@
 			continue
 		}
 		r := g.Room()
-		logger.Info("Requests were not admitted.", "service", name, "refused", g.refused, "offered", g.offered, "limit", math.Round(r.Limit), "held", math.Round(r.Held),
+		logger.Info("Requests were not admitted.", "service", name, "refused", nameClasses(g.refused), "offered", nameClasses(g.offered), "limit", math.Round(r.Limit), "held", math.Round(r.Held),
 			"ends", math.Round(r.Rate), "age", formatMillis(r.Age), "pauses", math.Round(g.byPauses), "loads", math.Round(g.byLoads), "fill", math.Round(100*g.fill.Fill())/100, "budget", math.Round(10*g.Budget())/10)
 		g.refused, g.offered, g.loggedAt = nil, nil, now
 	}
@@ -153,10 +171,11 @@
 }
 
 // updateAdmission sets what is known of a service for the admission of requests. The limit
-// counts runners that take requests and whose group is open.
+// counts runners that take requests and whose group is open. While all groups are being formed,
+// requests wait for them, and so that those that come later have room, they get a part of it.
 func (rs *RunnerState) updateAdmission(s *chivefleet.Service, fleet *chivefleet.Fleet, runners []*chivefleet.Runner, now chiveclock.Moment) {
 	states := fleet.GroupStates(s.Name)
-	limiter, byPauses, byLoads, slots := rs.limiter(s.Name), 0.0, 0.0, 0.0
+	limiter, byPauses, byLoads, slots, forming := rs.limiter(s.Name), 0.0, 0.0, 0.0, 0.0
 	loads := make([]float64, 0, len(runners))
 	for _, r := range runners {
 		loads = append(loads, float64(rs.loads.total(r.ID, now)))
@@ -164,11 +183,18 @@
 			continue
 		}
 		if r.Membership != nil && states[r.Membership.Group] != chivefleet.GroupOpen {
+			if states[r.Membership.Group] == chivefleet.GroupForming {
+				forming += float64(r.Slots)
+			}
 			continue
 		}
 		byPauses += limiter.Limit(r.Slots)
 		slots += float64(r.Slots)
 	}
+	if slots == 0 {
+		slots = formingFraction * forming
+		byPauses = slots
+	}
 	if count := float64(len(runners)); slots > 0 {
 		byLoads = count * chiveadmit.MeanLoad(loads, slots/count)
 	}
