--- a/internal/policy/chiveadmit/admission.go
+++ b/internal/policy/chiveadmit/admission.go
@@ -14,6 +14,9 @@
 	// OverShare reports whether the workspace of the request recently got more than its
 	// share of the service.
 	OverShare bool
+	// Resumed reports whether the request continues an answer of which its caller has a part.
+	// It is admitted: a refusal would break that answer.
+	Resumed bool
 	// TimeLeft is the time until the deadline of the request.
 	TimeLeft time.Duration
 }
--- a/internal/policy/chiveadmit/gate.go
+++ b/internal/policy/chiveadmit/gate.go
@@ -33,6 +33,13 @@
 	goldenRatio = 0.6180339887498949
 	// maxWork bounds the work of one request.
 	maxWork = 64
+	// pressedFraction is the part of the limit from which requests compete: below it the room
+	// that is left covers what all entry VMs admit within the age of their reports, and each
+	// refusal would leave places empty.
+	pressedFraction = 0.85
+	// maxRise bounds the rise of the work of all that is projected, as a fraction of the limit
+	// per second.
+	maxRise = 2.0
 )
 
 // The reasons of refusals.
@@ -59,6 +66,13 @@
 	refused     bool
 	// threshold rounds the parts of a place, in (0, 1].
 	threshold float64
+	// most is what this entry VM may hold whatever is reported.
+	most float64
+	// pressed reports whether requests compete for the room that is left. lastAll is the work of
+	// all at the last update, at updatedAt.
+	pressed   bool
+	lastAll   float64
+	updatedAt time.Duration
 	ranking   ranking
 	ends      rate
 	returns   returnOrder
@@ -97,10 +111,12 @@
 	g.adjustOverbooking(limit, all, fresh)
 	// What was held is a good base while it is recent. A fixed part of the limit needs no report.
 	base := fresh*(then+g.share*room) + (1-fresh)*g.share*limit
+	g.most = max(1, maxBudgetFraction*even)
 	g.budget = min(max(base+g.overbooking*even, minBudgetFraction*even), maxBudgetFraction*even)
 	if entries == 1 {
-		g.budget = limit
+		g.budget = limit - others
 	}
+	g.pressed = g.projected(now, all, age, limit) >= pressedFraction*limit
 	if g.threshold == 0 {
 		g.threshold = finite(k.Phase)
 	}
@@ -111,6 +127,18 @@
 	g.ranking.planned = 0
 }
 
+// projected returns the work of all until the next update: what it was when it was reported,
+// and its rise since then.
+func (g *Gate) projected(now time.Duration, all float64, age time.Duration, limit float64) float64 {
+	elapsed := (now - g.updatedAt).Seconds()
+	rise := 0.0
+	if g.updatedAt != 0 && elapsed > 0 {
+		rise = min(max(0, (all-g.lastAll)/elapsed), maxRise*limit)
+	}
+	g.lastAll, g.updatedAt = all, now
+	return all + rise*(age.Seconds()+elapsed)
+}
+
 // adjustOverbooking raises the overbooking while requests are refused although all entry VMs
 // together hold less than the limit: budgets that are not used at the moment leave places
 // empty, and so does headroom.
@@ -160,7 +188,7 @@
 func (g *Gate) Admit(now time.Duration, d Demand) Admission {
 	class, work := classOf(d), usualWork(d.Work)
 	g.ranking.add(now, class, work)
-	if g.room.Limit == 0 {
+	if g.room.Limit == 0 || d.Resumed || !g.pressed && g.held+work <= g.most {
 		return g.admit(now, work)
 	}
 	free := g.budget - g.held - g.threshold
--- a/internal/policy/chiveadmit/returns.go
+++ b/internal/policy/chiveadmit/returns.go
@@ -30,6 +30,8 @@
 func (o *returnOrder) next(now time.Duration, perSecond float64, timeLeft time.Duration) time.Duration {
 	longest := max(0, time.Duration(maxReturnFraction*float64(timeLeft)))
 	step := time.Duration(float64(time.Second) / max(minReturnRate, perSecond))
+	// Places that were promised while fewer became free are due earlier now.
+	o.last = min(o.last, now+longest)
 	due := max(o.last, now+minReturn) + step
 	if due-now <= longest {
 		o.last = due
--- a/internal/policy/chivelimit/limiter.go
+++ b/internal/policy/chivelimit/limiter.go
@@ -71,6 +71,11 @@
 	return min(l.limit, float64(slots))
 }
 
+// Discard ends an interval without a change of the limit.
+func (l *ConcurrencyLimiter) Discard() {
+	l.pauses, l.recentPause = l.pauses[:0], 0
+}
+
 // EndInterval updates the limit from the pauses recorded since the last call and
 // discards them. maxPause is the longest pause that the routes of the service
 // allow, idlePause the pause at a runner without other load, running the mean
--- a/internal/run/chiverelay/admission.go
+++ b/internal/run/chiverelay/admission.go
@@ -178,7 +178,6 @@
 	limiter, byPauses, byLoads, slots, forming := rs.limiter(s.Name), 0.0, 0.0, 0.0, 0.0
 	loads := make([]float64, 0, len(runners))
 	for _, r := range runners {
-		loads = append(loads, float64(rs.loads.total(r.ID, now)))
 		if !rs.accepts(r) || now < rs.pausedUntil(r.Incarnation()) || rs.slowdown(r.ID, now) >= migrationSlowdown {
 			continue
 		}
@@ -188,6 +187,7 @@
 			}
 			continue
 		}
+		loads = append(loads, float64(rs.loads.total(r.ID, now)))
 		byPauses += limiter.Limit(r.Slots)
 		slots += float64(r.Slots)
 	}
@@ -195,7 +195,8 @@
 		slots = formingFraction * forming
 		byPauses = slots
 	}
-	if count := float64(len(runners)); slots > 0 {
+	byLoads = slots
+	if count := float64(len(loads)); count > 0 {
 		byLoads = count * chiveadmit.MeanLoad(loads, slots/count)
 	}
 	others, age := rs.loads.reported(runners, now)
@@ -226,6 +227,9 @@
 		requests += sum
 		weighted += sum * old.Seconds()
 	}
+	if len(b.peers) == 0 {
+		return 0, peerLoadMaxAge
+	}
 	if requests == 0 {
 		return 0, 0
 	}
@@ -237,8 +241,10 @@
 	if !x.service.Ranked {
 		return true
 	}
-	rs, service, work := x.relay.State, x.service.Name, x.work
-	d := chiveadmit.Demand{Urgency: x.urgency(), Work: work, TimeLeft: chiveclock.Until(x.deadline)}
+	// Limits count requests, so that each counts as one here, too.
+	const work = 1
+	rs, service := x.relay.State, x.service.Name
+	d := chiveadmit.Demand{Urgency: x.urgency(), Work: work, Resumed: x.lastEvent >= 0, TimeLeft: chiveclock.Until(x.deadline)}
 	d.OverShare = x.workspace != nil && rs.overShare(service, x.workspace.Name)
 	a := rs.admissions.admit(service, d)
 	if !a.Admitted {
@@ -269,6 +275,6 @@
 // recordFirst records how long a runner took for the first event of the request.
 func (x *exchange) recordFirst() {
 	if x.service.Ranked && x.attempts == 1 {
-		x.relay.State.admissions.recordFirst(x.service.Name, chiveclock.Since(x.start), x.route.FirstTarget)
+		x.relay.State.admissions.recordFirst(x.service.Name, chiveclock.Since(x.current.startedAt), x.route.FirstTarget)
 	}
 }
--- a/internal/run/chiverelay/runner_state.go
+++ b/internal/run/chiverelay/runner_state.go
@@ -264,6 +264,7 @@
 		n := len(runners)
 		// Streams without events tell nothing: their group may stand still.
 		if s.Ranked && l.Sparse() && load > n {
+			l.Discard()
 			continue
 		}
 		l.EndInterval(l.targetPause, s.Engine.IdlePassTime, float64(load)/float64(n), slots/n)
--- a/internal/state/chivefleet/urgency.go
+++ b/internal/state/chivefleet/urgency.go
@@ -37,15 +37,19 @@
 	return s.urgencies[newUrgency(r, w)]
 }
 
-// rankServices orders the requests of each service by urgency.
+// rankServices orders the requests of each service by urgency. Only the routes of a service
+// decide whether it is ranked: workspaces have their priorities at all services alike, and say
+// nothing of who goes first at one of them.
 func (c *Config) rankServices() {
 	found := map[string]map[urgency]bool{}
+	priorities := map[string]map[int]bool{}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		for _, t := range r.Targets {
 			if found[t.Service] == nil {
-				found[t.Service] = map[urgency]bool{}
+				found[t.Service], priorities[t.Service] = map[urgency]bool{}, map[int]bool{}
 			}
+			priorities[t.Service][r.Priority] = true
 			if r.Public || len(c.Workspaces) == 0 {
 				found[t.Service][newUrgency(r, nil)] = true
 				continue
@@ -61,7 +65,7 @@
 			list = append(list, u)
 		}
 		slices.SortFunc(list, urgency.compare)
-		s.Ranked = s.Engine != nil && len(list) > 1
+		s.Ranked = s.Engine != nil && len(priorities[name]) > 1
 		s.urgencies = make(map[urgency]int, len(list))
 		for i, u := range list {
 			s.urgencies[u] = i
