--- a/internal/run/chiverelay/admission.go
+++ b/internal/run/chiverelay/admission.go
@@ -22,7 +22,7 @@
 	reportDelay = 100 * time.Millisecond
 	// formingFraction is the part of the slots of a group that is being formed for which
 	// requests may wait.
-	formingFraction = 0.5
+	formingFraction = 1.0
 )
 
 // admissions decides which requests are let in at services whose requests differ in
