--- a/internal/policy/chiveadmit/gate.go
+++ b/internal/policy/chiveadmit/gate.go
@@ -36,7 +36,7 @@
 	// pressedFraction is the part of the limit from which requests compete: below it the room
 	// that is left covers what all entry VMs admit within the age of their reports, and each
 	// refusal would leave places empty.
-	pressedFraction = 0.95
+	pressedFraction = 0.9
 	// maxRise bounds the rise of the work of all that is projected, as a fraction of the limit
 	// per second.
 	maxRise = 2.0
--- a/internal/run/chiverelay/admission.go
+++ b/internal/run/chiverelay/admission.go
@@ -188,7 +188,7 @@
 			continue
 		}
 		loads = append(loads, float64(rs.loads.total(r.ID, now)))
-		byPauses += limiter.Limit(r.Slots)
+		byPauses += math.Ceil(limiter.Limit(r.Slots)) + engineQueueLimit
 		slots += float64(r.Slots)
 	}
 	if slots == 0 {
@@ -196,9 +196,7 @@
 		byPauses = slots
 	}
 	byLoads = slots
-	if count := float64(len(loads)); count > 0 {
-		byLoads = count * chiveadmit.MeanLoad(loads, slots/count)
-	}
+	_ = loads
 	others, age := rs.loads.reported(runners, now)
 	k := chiveadmit.Known{Others: others, Age: age + reportDelay, Entries: len(rs.entries), Phase: phaseOf(rs.self)}
 	rs.admissions.update(s.Name, now, k, byPauses, byLoads, slots)
