--- a/internal/policy/chiveadmit/fill.go
+++ b/internal/policy/chiveadmit/fill.go
@@ -64,20 +64,3 @@
 		l.decreasedAt, l.changedAt = now, now
 	}
 }
-
-// MeanLoad returns the mean load per runner at which the runner at the third quartile of the
-// loads is just full, from the loads as they are, which it sorts. Requests beyond the slots of a
-// runner wait there.
-func MeanLoad(loads []float64, slots float64) float64 {
-	if len(loads) == 0 {
-		return slots
-	}
-	slices.Sort(loads)
-	sum := 0.0
-	for _, n := range loads {
-		sum += n
-	}
-	mean := sum / float64(len(loads))
-	spread := loads[(len(loads)*3)/4] - mean
-	return min(max(slots-spread, slots/2), slots)
-}
--- a/internal/run/chiverelay/admission.go
+++ b/internal/run/chiverelay/admission.go
@@ -20,9 +20,6 @@
 	// reportDelay is the usual age of a load report's content when it arrives: digests sum up
 	// reports of the last half second.
 	reportDelay = 100 * time.Millisecond
-	// formingFraction is the part of the slots of a group that is being formed for which
-	// requests may wait.
-	formingFraction = 1.0
 )
 
 // admissions decides which requests are let in at services whose requests differ in
@@ -40,8 +37,8 @@
 	// refused counts the requests refused and offered counts all since loggedAt, by class.
 	refused, offered map[requestClass]int
 	loggedAt         chiveclock.Moment
-	// byPauses and byLoads are the limits by pauses and by loads, for logs.
-	byPauses, byLoads float64
+	// byPauses is the limit by pauses, for logs.
+	byPauses float64
 }
 
 // requestClass is what counts for the order of admission.
@@ -118,15 +115,15 @@
 	a.gate(service).fill.AddFirst(wait, target)
 }
 
-// update sets what is known of a service. Its limit is the least of those by pauses, by loads
-// and by the part of the slots that is to be filled.
-func (a *admissions) update(service string, now chiveclock.Moment, k chiveadmit.Known, byPauses, byLoads, slots float64) {
+// update sets what is known of a service. Its limit is the lesser of that by pauses and the
+// part of the slots that is to be filled.
+func (a *admissions) update(service string, now chiveclock.Moment, k chiveadmit.Known, byPauses, slots float64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	g := a.gate(service)
 	g.fill.EndInterval(time.Duration(now))
-	g.byPauses, g.byLoads = byPauses, byLoads
-	k.Limit = min(byPauses, byLoads, slots*g.fill.Fill())
+	g.byPauses = byPauses
+	k.Limit = min(byPauses, slots*g.fill.Fill())
 	g.Update(time.Duration(now), k)
 }
 
@@ -153,7 +150,7 @@
 		}
 		r := g.Room()
 		logger.Info("Requests were not admitted.", "service", name, "refused", nameClasses(g.refused), "offered", nameClasses(g.offered), "limit", math.Round(r.Limit), "held", math.Round(r.Held),
-			"ends", math.Round(r.Rate), "age", formatMillis(r.Age), "pauses", math.Round(g.byPauses), "loads", math.Round(g.byLoads), "fill", math.Round(100*g.fill.Fill())/100, "budget", math.Round(10*g.Budget())/10)
+			"ends", math.Round(r.Rate), "age", formatMillis(r.Age), "pauses", math.Round(g.byPauses), "fill", math.Round(100*g.fill.Fill())/100, "budget", math.Round(10*g.Budget())/10)
 		g.refused, g.offered, g.loggedAt = nil, nil, now
 	}
 }
@@ -171,35 +168,25 @@
 }
 
 // updateAdmission sets what is known of a service for the admission of requests. The limit
-// counts runners that take requests and whose group is open. While all groups are being formed,
-// requests wait for them, and so that those that come later have room, they get a part of it.
+// counts runners that take requests and whose group is open, each for as many requests as
+// Reserve would give it. Without such runners there is no limit: requests are refused, or wait
+// for a group that is being formed, as at other services.
 func (rs *RunnerState) updateAdmission(s *chivefleet.Service, fleet *chivefleet.Fleet, runners []*chivefleet.Runner, now chiveclock.Moment) {
 	states := fleet.GroupStates(s.Name)
-	limiter, byPauses, byLoads, slots, forming := rs.limiter(s.Name), 0.0, 0.0, 0.0, 0.0
-	loads := make([]float64, 0, len(runners))
+	limiter, byPauses, slots := rs.limiter(s.Name), 0.0, 0.0
 	for _, r := range runners {
 		if !rs.accepts(r) || now < rs.pausedUntil(r.Incarnation()) || rs.slowdown(r.ID, now) >= migrationSlowdown {
 			continue
 		}
 		if r.Membership != nil && states[r.Membership.Group] != chivefleet.GroupOpen {
-			if states[r.Membership.Group] == chivefleet.GroupForming {
-				forming += float64(r.Slots)
-			}
 			continue
 		}
-		loads = append(loads, float64(rs.loads.total(r.ID, now)))
 		byPauses += math.Ceil(limiter.Limit(r.Slots)) + engineQueueLimit
 		slots += float64(r.Slots)
 	}
-	if slots == 0 {
-		slots = formingFraction * forming
-		byPauses = slots
-	}
-	byLoads = slots
-	_ = loads
 	others, age := rs.loads.reported(runners, now)
 	k := chiveadmit.Known{Others: others, Age: age + reportDelay, Entries: len(rs.entries), Phase: phaseOf(rs.self)}
-	rs.admissions.update(s.Name, now, k, byPauses, byLoads, slots)
+	rs.admissions.update(s.Name, now, k, byPauses, slots)
 }
 
 // phaseOf returns a number in [0, 1) that differs between names.
