Retry a refused rollback at once, and send no pulses before a renewal

A holder that woke began a watch and left it without an end, so that its second successor read the lease for 1.5 s.

--- a/internal/run/chivebalance/term.go
+++ b/internal/run/chivebalance/term.go
@@ -87,11 +87,16 @@
 	return true
 }
 
-// watch sends pulses until the returned function is called.
+// watch sends pulses until the returned function is called, none if the process was
+// suspended.
 func (t *leaseTerm) watch() (end func()) {
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	t.round.Store(nil)
+	if t.wasSuspended() {
+		stop()
+		return func() {}
+	}
 	t.sendPulse(true)
 	t.pulsedAt.Store(int64(t.clock.Now()))
 	go func() {
--- a/internal/run/chivebalance/term_test.go
+++ b/internal/run/chivebalance/term_test.go
@@ -111,6 +111,10 @@
 		default:
 			t.Error("suspension was not reported")
 		}
+		term.watch()()
+		if held.Load() != 0 || ended.Load() != 0 {
+			t.Error("pulses in a watch that began before the lease was renewed")
+		}
 	})
 }
 
--- a/internal/run/chivemesh/pulse.go
+++ b/internal/run/chivemesh/pulse.go
@@ -25,7 +25,7 @@
 	silenceCheckGap = 120 * time.Millisecond
 	// silenceMaxAge is the time after which the usual timeout of a peer applies in place
 	// of the silence.
-	silenceMaxAge = 1500 * time.Millisecond
+	silenceMaxAge = dutyHolderTimeout
 	// successorCount is the number of entry VMs that get pulses.
 	successorCount = 2
 	// storeAnswerLimit is how long ago the store may have answered a successor.
--- a/internal/state/chiverank/takeover.go
+++ b/internal/state/chiverank/takeover.go
@@ -15,6 +15,22 @@
 // ranks in one epoch, none held or armed. It fails if a rank does not report, or has
 // a map of a later leaseholder.
 func (s *Switcher) Recover(ctx context.Context, members []Member) (settled bool, reports []*Report, err error) {
+	for range recoverTries {
+		settled, reports, err = s.recoverOnce(ctx, members)
+		if !errors.Is(err, ErrConflict) {
+			break
+		}
+	}
+	return settled, reports, err
+}
+
+// recoverTries is the number of attempts to recover a group. A rollback is refused if a
+// pass begins after the reports, until the group stands.
+const recoverTries = 4
+
+// recoverOnce makes one attempt of Recover. The error wraps ErrConflict if the group has
+// moved on since the reports.
+func (s *Switcher) recoverOnce(ctx context.Context, members []Member) (settled bool, reports []*Report, err error) {
 	start := chiveclock.Now()
 	reports, open, err := s.readGroup(ctx, members)
 	if err != nil || !open {
