--- a/internal/state/chiverank/takeover.go
+++ b/internal/state/chiverank/takeover.go
@@ -36,8 +36,8 @@
 	if err != nil || !open {
 		return false, reports, err
 	}
-	if s.minEpoch != reports[0].Epoch {
-		// Rounds of earlier leaseholders are not known.
+	if s.minEpoch != reports[0].Epoch && anyVersion(reports) {
+		// Rounds of earlier leaseholders are not known. Each has prepared a version.
 		s.skipPasses(reports[0].Epoch, lastPass(reports))
 	}
 	if settledOrArmed(reports) {
@@ -83,6 +83,11 @@
 	return reports, true, nil
 }
 
+// anyVersion reports whether a rank has had a map other than the first one.
+func anyVersion(reports []*Report) bool {
+	return slices.ContainsFunc(reports, func(r *Report) bool { return r.Map != 0 || r.Prepared != 0 || r.Armed != 0 })
+}
+
 // lastPass returns the last pass that a rank has reported.
 func lastPass(reports []*Report) int64 {
 	var pass int64
