--- a/internal/run/chivebalance/group.go
+++ b/internal/run/chivebalance/group.go
@@ -52,6 +52,9 @@
 	// maxPendingReports is the number of reports in a row that may show a change
 	// in progress although there is none, because reports are out of date.
 	maxPendingReports = 2
+	// urgentGain is the factor by which a change must shorten steps to be made with less
+	// time for a takeover: each pass that it waits for costs callers as much again.
+	urgentGain = 2
 	// gainHorizonPasses is the number of forward passes over which the saved time
 	// must exceed the cost of a change.
 	gainHorizonPasses = 400
@@ -187,7 +190,7 @@
 // improveMap changes the map if the gain under the forecast demand is worth its cost.
 func (g *group) improveMap(ctx context.Context, ms *membership, forecast chivemap.Loads) {
 	planner := chivemap.Planner{
-		Tolerance: skewTolerance, MaxNewExperts: min(maxNewExperts, ms.engine.MaxNewExperts), MaxCopies: maxCopies(ms.engine.ExpertCopyTime, g.stepTimes.StepTime()), Horizon: gainHorizonPasses, MoveCost: moveCostPasses,
+		Tolerance: skewTolerance, MaxNewExperts: min(maxNewExperts, ms.engine.MaxNewExperts), MaxCopies: maxCopies(ms.engine.ExpertCopyTime, g.stepTimes.StepTime(), before >= urgentGain*after), Horizon: gainHorizonPasses, MoveCost: moveCostPasses,
 		Slowdowns: g.rankSlowdowns(len(ms.members)),
 	}
 	next := planner.Plan(g.current, forecast)
@@ -455,7 +458,7 @@
 func (g *group) applyMap(ctx context.Context, ms *membership, next *chivemap.Map, before, after float64) {
 	moves := g.current.Moves(next)
 	start := time.Now()
-	version, err := g.switcher.Switch(ctx, ms.members, g.epoch, next.Layout(), ms.engine.ExpertCopyTime, g.stepTimes.StepTime())
+	version, err := g.switcher.Switch(ctx, ms.members, g.epoch, next.Layout(), ms.engine.ExpertCopyTime, g.stepTimes.StepTime(), before >= urgentGain*after)
 	if err != nil {
 		g.handleRankError("Expert map could not be changed.", err)
 		return
--- a/internal/state/chiverank/switcher.go
+++ b/internal/state/chiverank/switcher.go
@@ -116,9 +116,10 @@
 // Switch makes all ranks use a map and returns its version. members are all ranks
 // of the group in the given epoch, ordered by rank. layout lists the experts per
 // layer and rank. copyTime is the least time that copying the experts takes; no
-// rank is polled before. passTime is the recent duration of a pass, 0 if unknown. If a
+// rank is polled before. passTime is the recent duration of a pass, 0 if unknown. An urgent
+// change leaves no more than leadPasses passes for a successor to take over. If a
 // rank cannot be armed, the change is rolled back and the error returned.
-func (s *Switcher) Switch(ctx context.Context, members []Member, epoch int64, layout [][][]int, copyTime, passTime time.Duration) (version int64, err error) {
+func (s *Switcher) Switch(ctx context.Context, members []Member, epoch int64, layout [][][]int, copyTime, passTime time.Duration, urgent bool) (version int64, err error) {
 	token, err := s.nextToken()
 	for range s.released {
 		if err == nil && slices.Contains(s.released, roundHolder(members, token, nil)) {
@@ -140,7 +141,7 @@
 	defer s.watch()()
 	order.Map = nil
 	holder := roundHolder(members, token, nil)
-	pass, err = s.holdAhead(ctx, holder, order, pass, leadFor(passTime))
+	pass, err = s.holdAhead(ctx, holder, order, pass, leadFor(passTime, urgent))
 	if err != nil {
 		return 0, err
 	}
@@ -162,11 +163,15 @@
 
 // leadFor returns the number of passes from a report to the change for a duration of
 // passes, 0 if unknown.
-func leadFor(passTime time.Duration) int64 {
+func leadFor(passTime time.Duration, urgent bool) int64 {
 	if passTime <= 0 {
 		return leadPasses
 	}
-	return int64(min(maxLeadPasses, (leadTime+passTime-1)/passTime))
+	lead := (leadTime + passTime - 1) / passTime
+	if urgent {
+		return int64(min(leadPasses, lead))
+	}
+	return int64(min(maxLeadPasses, lead))
 }
 
 // roundHolder returns the rank that holds the group in the round of a token.
--- a/internal/state/chiverank/switcher_test.go
+++ b/internal/state/chiverank/switcher_test.go
@@ -292,7 +292,7 @@
 			defer close(done)
 			for range 2 {
 				// A fenced switcher has been replaced, so it makes no further attempt.
-				if _, err := s.Switch(ctx, members(ranks), 1, nil, 50*time.Millisecond, 0); errors.Is(err, ErrFenced) {
+				if _, err := s.Switch(ctx, members(ranks), 1, nil, 50*time.Millisecond, 0, false); errors.Is(err, ErrFenced) {
 					return
 				}
 			}
@@ -348,7 +348,7 @@
 	g := newFakeGroup(t, 1, 2, 0)
 	s, lease := newSwitcher(g, 1)
 	lease.lost = true
-	if _, err := s.Switch(context.Background(), members(2), 1, nil, 0, 0); err == nil {
+	if _, err := s.Switch(context.Background(), members(2), 1, nil, 0, 0, false); err == nil {
 		t.Error("map was changed without the lease")
 	}
 }
--- a/internal/state/chiverank/takeover_test.go
+++ b/internal/state/chiverank/takeover_test.go
@@ -86,7 +86,7 @@
 	told.Store(&Round{})
 	holder.OnHeld = func(r Round) { told.Store(&r) }
 	var running sync.WaitGroup
-	running.Go(func() { _, _ = holder.Switch(ctx, list, 1, nil, 50*time.Millisecond, 0) })
+	running.Go(func() { _, _ = holder.Switch(ctx, list, 1, nil, 50*time.Millisecond, 0, false) })
 	<-ranks.frozen
 	standstill := g.watchPasses(ctx, 8*time.Second)
 	running.Go(func() {
@@ -360,7 +360,7 @@
 				t.Fatal(err)
 			}
 			h.held = nil
-			if _, err := s.Switch(context.Background(), members(5), 1, nil, 0, leadTime); err != nil {
+			if _, err := s.Switch(context.Background(), members(5), 1, nil, 0, leadTime, false); err != nil {
 				t.Fatal(err)
 			}
 			if len(h.held) != 1 || h.held[0] == held {
@@ -372,3 +372,25 @@
 		})
 	}
 }
+
+// TestLeadFor checks how many passes a change leaves for a takeover.
+func TestLeadFor(t *testing.T) {
+	tests := []struct {
+		passTime time.Duration
+		urgent   bool
+		want     int64
+	}{
+		{0, false, leadPasses},
+		{10 * time.Millisecond, false, maxLeadPasses},
+		{75 * time.Millisecond, false, 3},
+		{75 * time.Millisecond, true, leadPasses},
+		{leadTime, false, 1},
+		{leadTime, true, 1},
+		{time.Second, false, 1},
+	}
+	for _, tt := range tests {
+		if got := leadFor(tt.passTime, tt.urgent); got != tt.want {
+			t.Errorf("passes of %v, urgent %t: lead is %d, want %d", tt.passTime, tt.urgent, got, tt.want)
+		}
+	}
+}
