--- a/internal/run/chivebalance/group.go
+++ b/internal/run/chivebalance/group.go
@@ -190,7 +190,7 @@
 // improveMap changes the map if the gain under the forecast demand is worth its cost.
 func (g *group) improveMap(ctx context.Context, ms *membership, forecast chivemap.Loads) {
 	planner := chivemap.Planner{
-		Tolerance: skewTolerance, MaxNewExperts: min(maxNewExperts, ms.engine.MaxNewExperts), MaxCopies: maxCopies(ms.engine.ExpertCopyTime, g.stepTimes.StepTime(), before >= urgentGain*after), Horizon: gainHorizonPasses, MoveCost: moveCostPasses,
+		Tolerance: skewTolerance, MaxNewExperts: min(maxNewExperts, ms.engine.MaxNewExperts), MaxCopies: maxCopies(ms.engine.ExpertCopyTime, g.stepTimes.StepTime()), Horizon: gainHorizonPasses, MoveCost: moveCostPasses,
 		Slowdowns: g.rankSlowdowns(len(ms.members)),
 	}
 	next := planner.Plan(g.current, forecast)
