--- a/internal/state/chiverank/switcher.go
+++ b/internal/state/chiverank/switcher.go
@@ -32,13 +32,16 @@
 	reportInterval = 25 * time.Millisecond
 	// leadTime is the least time between a report and the pass at which the map changes: a
 	// successor takes over from a suspended switcher in this time, so that the group does
-	// not stand meanwhile. leadPasses is the number of passes if their duration is
-	// unknown, maxLeadPasses bounds it. It is doubled up to leadDoublings times while the
-	// hold arrives after that pass has begun.
-	leadTime      = 200 * time.Millisecond
-	leadPasses    = 2
-	maxLeadPasses = 5
-	leadDoublings = 5
+	// not stand meanwhile. leadPasses is the least number of passes, and slowLeadPasses
+	// that number if a pass takes at least slowPassTime, which is enough to arm all ranks;
+	// maxLeadPasses bounds it. It is doubled up to leadDoublings times while the hold
+	// arrives after that pass has begun.
+	leadTime       = 170 * time.Millisecond
+	leadPasses     = 2
+	slowLeadPasses = 1
+	slowPassTime   = 150 * time.Millisecond
+	maxLeadPasses  = 5
+	leadDoublings  = 5
 	// confirmTimeout bounds the attempts until a rank confirms an order other than
 	// Prepare. If a rank does not confirm Arm, the change is rolled back.
 	confirmTimeout = 6 * time.Second
@@ -164,14 +167,13 @@
 // leadFor returns the number of passes from a report to the change for a duration of
 // passes, 0 if unknown.
 func leadFor(passTime time.Duration, urgent bool) int64 {
-	if passTime <= 0 {
+	switch {
+	case passTime >= slowPassTime:
+		return slowLeadPasses
+	case passTime <= 0 || urgent:
 		return leadPasses
 	}
-	lead := (leadTime + passTime - 1) / passTime
-	if urgent {
-		return int64(min(leadPasses, lead))
-	}
-	return int64(min(maxLeadPasses, lead))
+	return int64(max(leadPasses, min(maxLeadPasses, (leadTime+passTime-1)/passTime)))
 }
 
 // roundHolder returns the rank that holds the group in the round of a token.
