--- a/internal/run/chivebalance/term.go
+++ b/internal/run/chivebalance/term.go
@@ -131,7 +131,7 @@
 }
 
 func (t *leaseTerm) sendPulse(held bool) {
-	if t.pulse == nil {
+	if t.pulse == nil || held && t.wasSuspended() {
 		return
 	}
 	var round chiverank.Round
--- a/internal/run/chivebalance/term_test.go
+++ b/internal/run/chivebalance/term_test.go
@@ -112,6 +112,7 @@
 			t.Error("suspension was not reported")
 		}
 		term.watch()()
+		term.tellRound(chiverank.Round{Version: 4, Pass: 12})
 		if held.Load() != 0 || ended.Load() != 0 {
 			t.Error("pulses in a watch that began before the lease was renewed")
 		}
