Roll back by no rank of the change, and take no late report for settled

Cause: a rollback could fall back to the rank of the round that it rolls back, whose hold a late report does not show, so that the next successor took its hold for that of the change and completed it. And reports are up to 0.2 s old while a silence is noticed within 0.11 s: a successor took a held group for settled, also with the round in the pulse. Change: rollbackHolder avoids the rounds of all prepared versions that are not in use everywhere and fails if no rank is left, where it took the first one. Recover reads again while reports may be from before the last pulse. The fake group of the tests reports with a lag.

--- a/internal/state/chiverank/switcher.go
+++ b/internal/state/chiverank/switcher.go
@@ -28,8 +28,11 @@
 	// prepareTimeout bounds sending Prepare to all ranks, and then waiting until
 	// they have copied their experts.
 	prepareTimeout = 8 * time.Second
-	// reportInterval is the pause between two polls of ranks that are copying.
+	// reportInterval is the pause between two polls of ranks that are copying, or whose
+	// reports may be out of date.
 	reportInterval = 25 * time.Millisecond
+	// maxReportAge is the age that a report may have, with the time that an order takes.
+	maxReportAge = 300 * time.Millisecond
 	// leadTime is the least time between a report and the pass at which the map changes: a
 	// successor takes over from a suspended switcher in this time, so that the group does
 	// not stand meanwhile. leadPasses is the least number of passes, and slowLeadPasses
@@ -85,12 +88,16 @@
 	// KnownRound returns the round that another leaseholder has last told of; nil means
 	// that there is none.
 	KnownRound func() Round
+	// SincePulse returns the time since another leaseholder has last told that it holds a
+	// group; nil means that there is none.
+	SincePulse func() time.Duration
 	// OnTakeover is called when the change of an earlier leaseholder was completed or
 	// rolled back. It may be nil.
 	OnTakeover func(Takeover)
 
-	// released holds the ranks whose holds the last rollback released. A Go of the change
-	// that was rolled back may still arrive there.
+	// released holds the ranks that the last rollback found holding the group and whose
+	// holds it releases. A Go of an earlier round may still arrive there, so that the next
+	// change holds the group by another rank.
 	released []Member
 	// minPass is the least pass of the next change in minEpoch. A Go of an earlier round
 	// before such a pass can no longer arrive, also if the group stands idle.
@@ -204,6 +211,28 @@
 	return list
 }
 
+// rollbackHolder returns the rank that holds the group in a rollback. It avoids those that
+// hold the group and those of the rounds that ranks report. In small groups it makes do
+// without the rounds that are over. It fails if no rank is left: the hold could then be
+// taken for that of the change that is being rolled back.
+func rollbackHolder(members []Member, token int64, held []Member, reports []*Report) (Member, error) {
+	all := slices.Concat(held, earlierHolders(members, reports))
+	if m := roundHolder(members, token, all); !slices.Contains(all, m) {
+		return m, nil
+	}
+	avoid := slices.Clone(held)
+	for _, r := range reports {
+		if r.Prepared != 0 && slices.ContainsFunc(reports, func(o *Report) bool { return o.Map != r.Prepared }) {
+			avoid = append(avoid, roundHolder(members, r.Prepared, nil))
+		}
+	}
+	m := roundHolder(members, token, avoid)
+	if slices.Contains(avoid, m) {
+		return Member{}, Error.New("no rank of %d may hold the group for a rollback", len(members))
+	}
+	return m, nil
+}
+
 // awaitPrepared waits until all ranks have copied the experts of a version. It
 // returns the highest pass reported. It fails when the group is not open in the
 // epoch, or when a rank is not prepared in time.
@@ -288,7 +317,10 @@
 	s.skipPasses(reports[0].Epoch, pass)
 	// The pass must be the next one: before a later one, the group could begin the
 	// pass of a change that is being rolled back.
-	holder := roundHolder(members, token, slices.Concat(holders, earlierHolders(members, reports)))
+	holder, err := rollbackHolder(members, token, holders, reports)
+	if err != nil {
+		return err
+	}
 	o := Order{Op: Hold, Token: token, Epoch: reports[0].Epoch, Pass: pass + 1}
 	// The layout may be read before the hold is confirmed: the hold is refused unless
 	// the pass of the reports is still the last that has begun.
--- a/internal/state/chiverank/switcher_test.go
+++ b/internal/state/chiverank/switcher_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -48,6 +49,16 @@
 	// mayMix is set.
 	mixed  int
 	mayMix bool
+	// lag is the age of reports, history the states since the start if it is not 0.
+	lag     time.Duration
+	history []fakeState
+}
+
+// fakeState is the state of a fakeGroup from a time on.
+type fakeState struct {
+	at    time.Time
+	pass  int64
+	ranks []fakeRank
 }
 
 func newFakeGroup(t *testing.T, seed uint64, ranks int, lossRate float64) *fakeGroup {
@@ -73,6 +84,7 @@
 func (g *fakeGroup) beginPass() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	defer g.record()
 	next := g.pass + 1
 	for i := range g.ranks {
 		if g.ranks[i].heldPass == next {
@@ -124,9 +136,17 @@
 	return ctx.Err()
 }
 
+// record adds the state to history. The caller holds mu.
+func (g *fakeGroup) record() {
+	if g.lag > 0 {
+		g.history = append(g.history, fakeState{time.Now(), g.pass, slices.Clone(g.ranks)})
+	}
+}
+
 func (g *fakeGroup) apply(m Member, o Order) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	defer g.record()
 	r := &g.ranks[m.Rank]
 	if o.Token < r.highestToken && !g.unfenced {
 		return ErrFenced
@@ -187,9 +207,16 @@
 func (g *fakeGroup) Report(_ context.Context, m Member) (Report, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	r := g.ranks[m.Rank]
+	r, pass := g.ranks[m.Rank], g.pass
+	if len(g.history) > 0 {
+		i := len(g.history) - 1
+		for i > 0 && time.Since(g.history[i].at) < g.lag {
+			i--
+		}
+		r, pass = g.history[i].ranks[m.Rank], g.history[i].pass
+	}
 	return Report{
-		Epoch: g.epoch, Rank: m.Rank, Open: true, Pass: g.pass, Map: r.version, Prepared: r.prepared, Armed: r.armed, Held: r.heldPass,
+		Epoch: g.epoch, Rank: m.Rank, Open: true, Pass: pass, Map: r.version, Prepared: r.prepared, Armed: r.armed, Held: r.heldPass,
 	}, nil
 }
 
--- a/internal/state/chiverank/takeover.go
+++ b/internal/state/chiverank/takeover.go
@@ -32,7 +32,7 @@
 // moved on since the reports.
 func (s *Switcher) recoverOnce(ctx context.Context, members []Member) (settled bool, reports []*Report, err error) {
 	start := chiveclock.Now()
-	reports, open, err := s.readGroup(ctx, members)
+	reports, open, err := s.readSince(ctx, members)
 	if err != nil || !open {
 		return false, reports, err
 	}
@@ -64,6 +64,21 @@
 	return false, reports, nil
 }
 
+// readSince reads the reports of all ranks as readGroup does, again while they show a group
+// that is not held but may be from before the hold that a silent leaseholder has told of.
+func (s *Switcher) readSince(ctx context.Context, members []Member) (reports []*Report, open bool, err error) {
+	for {
+		recent := s.SincePulse != nil && s.SincePulse() <= maxReportAge
+		reports, open, err = s.readGroup(ctx, members)
+		if !recent || err != nil || !open || !settledOrArmed(reports) {
+			return reports, open, err
+		}
+		if err := chiveclock.Sleep(ctx, reportInterval); err != nil {
+			return reports, false, err
+		}
+	}
+}
+
 // readGroup reads the reports of all ranks. It returns whether the group is open, with
 // all ranks in one epoch, and fails if a rank does not report, or has a map of a later
 // leaseholder.
@@ -165,10 +180,9 @@
 }
 
 // complete arms all ranks for an unfinished change, unless they are, and releases the
-// group. The orders
-// are those that the earlier leaseholder sent or would have sent, so that its late and
-// repeated ones do no harm, nor does it do harm that several successors complete the
-// same change. A rank refuses to be armed if the change was rolled back meanwhile or its
+// group. The orders are those that the earlier leaseholder sent or would have sent, so that
+// its late and repeated ones do no harm, nor does it do harm that several successors
+// complete the same change. A rank refuses to be armed if the change was rolled back meanwhile or its
 // pass has begun; the group is then not released. A rollback that begins meanwhile has a
 // hold of its own until all ranks have a newer version prepared.
 func (s *Switcher) complete(ctx context.Context, members []Member, epoch int64, u unfinished) error {
--- a/internal/state/chiverank/takeover_test.go
+++ b/internal/state/chiverank/takeover_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -13,9 +14,10 @@
 
 const (
 	// noticeTime is the time from the suspension of a holder until its successor has the
-	// lease, slowNoticeTime that without pulses.
-	noticeTime     = 200 * time.Millisecond
-	slowNoticeTime = 750 * time.Millisecond
+	// lease, quickNoticeTime the least one, and slowNoticeTime that without pulses.
+	noticeTime      = 200 * time.Millisecond
+	quickNoticeTime = 120 * time.Millisecond
+	slowNoticeTime  = 750 * time.Millisecond
 	// maxStandstill is the longest time for which callers accept that a group stands
 	// because of one VM.
 	maxStandstill = 500 * time.Millisecond
@@ -73,7 +75,9 @@
 	// sleep is how long it is suspended, notice how long until successors act.
 	sleep, notice time.Duration
 	successors    int
-	recover       func(ctx context.Context, s *Switcher, members []Member) error
+	// lag is the age of reports.
+	lag     time.Duration
+	recover func(ctx context.Context, s *Switcher, members []Member) error
 }
 
 // play returns the longest time without a pass from the suspension on.
@@ -88,6 +92,7 @@
 	var running sync.WaitGroup
 	running.Go(func() { _, _ = holder.Switch(ctx, list, 1, nil, 50*time.Millisecond, 0, false) })
 	<-ranks.frozen
+	frozenAt := time.Now()
 	standstill := g.watchPasses(ctx, 8*time.Second)
 	running.Go(func() {
 		time.Sleep(o.sleep)
@@ -98,8 +103,12 @@
 			time.Sleep(o.notice + time.Duration(i)*100*time.Millisecond)
 			s, _ := newSwitcher(g, uint64(2+i))
 			s.KnownRound = func() Round { return *told.Load() }
+			s.SincePulse = func() time.Duration { return time.Since(frozenAt) }
 			for range 60 {
 				if o.recover(ctx, s, list) == nil {
+					if time.Since(frozenAt) < o.sleep && g.lossRate+g.doubleRate == 0 && g.isHeld() {
+						g.t.Errorf("order %d: a held group is taken for settled", o.at)
+					}
 					return
 				}
 				time.Sleep(150 * time.Millisecond)
@@ -110,6 +119,13 @@
 	return <-standstill
 }
 
+// isHeld reports whether a rank holds the group.
+func (g *fakeGroup) isHeld() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.ContainsFunc(g.ranks, func(r fakeRank) bool { return r.heldPass >= 0 })
+}
+
 // watchPasses measures the longest time between two passes.
 func (g *fakeGroup) watchPasses(ctx context.Context, d time.Duration) <-chan time.Duration {
 	result := make(chan time.Duration, 1)
@@ -184,18 +200,25 @@
 		lossRate   float64
 		doubleRate float64
 		successors int
+		lag        time.Duration
 	}{
-		{"one successor", 0, 0, 1},
-		{"two successors", 0, 0, 2},
-		{"orders are doubled", 0, 0.5, 1},
-		{"orders are lost, late and doubled, two successors", 0.2, 0.3, 2},
+		{"one successor", 0, 0, 1, 0},
+		{"one successor, reports are late", 0, 0, 1, 200 * time.Millisecond},
+		{"two successors", 0, 0, 2, 0},
+		{"two successors, reports are late", 0, 0, 2, 200 * time.Millisecond},
+		{"orders are doubled", 0, 0.5, 1, 0},
+		{"orders are lost, late and doubled, two successors", 0.2, 0.3, 2, 0},
+		{"the same, reports are late", 0.2, 0.3, 2, 200 * time.Millisecond},
 	}
 	for _, tt := range tests {
 		for _, unfenced := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, unfenced %t", tt.give, unfenced), func(t *testing.T) {
 				for at := 1; at <= ordersOfSwitch; at++ {
 					for seed := range uint64(6) {
-						o := takeover{at: at, notice: noticeTime, successors: tt.successors, recover: recoverGroup}
+						o := takeover{at: at, notice: noticeTime, successors: tt.successors, lag: tt.lag, recover: recoverGroup}
+						if tt.lag > 0 && seed%2 == 0 {
+							o.notice = quickNoticeTime
+						}
 						r := playTakeover(t, o, seed, tt.lossRate, tt.doubleRate, unfenced, false)
 						if tt.lossRate == 0 && r.standstill > maxStandstill {
 							t.Errorf("order %d, seed %d: group stood for %v", at, seed, r.standstill)
@@ -220,7 +243,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		g := newFakeGroup(t, seed, 5, lossRate)
-		g.doubleRate, g.unfenced, g.mayMix = doubleRate, unfenced, mayMix
+		g.doubleRate, g.unfenced, g.mayMix, g.lag = doubleRate, unfenced, mayMix, o.lag
 		draw := rand.New(rand.NewPCG(seed, 3))
 		o.sleep = time.Duration(draw.Int64N(int64(1500 * time.Millisecond)))
 		if seed%2 == 0 {
@@ -395,3 +418,127 @@
 		}
 	}
 }
+
+// TestRollbackHolder checks that no rollback holds the group by the rank of the change that
+// it rolls back, also if its report does not show its hold yet: the next successor would
+// complete that change. In small groups a rollback may have to fail.
+func TestRollbackHolder(t *testing.T) {
+	const first, second = int64(1)<<tokenSeqBits | 1, int64(2)<<tokenSeqBits | 3
+	for size := 2; size <= 6; size++ {
+		list := members(size)
+		a, b := roundHolder(list, first, nil), roundHolder(list, second, nil)
+		for token := int64(3) << tokenSeqBits; token < 3<<tokenSeqBits+7; token++ {
+			reports := make([]*Report, size)
+			for i := range reports {
+				reports[i] = &Report{Map: first, Prepared: first, Held: -1}
+			}
+			reports[size-1].Prepared = second
+			m, err := rollbackHolder(list, token, nil, reports)
+			if err != nil || m == b {
+				t.Errorf("%d ranks, token %d: held by %v, %v, want another than %v", size, token, m, err, b)
+			}
+			for i := range reports {
+				reports[i].Map = 0
+			}
+			m, err = rollbackHolder(list, token, nil, reports)
+			if wantErr := size == 2 && a != b; wantErr != (err != nil) || err == nil && (m == a || m == b) {
+				t.Errorf("%d ranks, token %d: held by %v, %v, want another than %v and %v", size, token, m, err, a, b)
+			}
+			for i := range reports {
+				reports[i].Prepared = second
+			}
+			held := slices.DeleteFunc(slices.Clone(list), func(m Member) bool { return m == b })
+			if m, err := rollbackHolder(list, token, held, reports); err == nil {
+				t.Errorf("%d ranks, token %d: held by %v, want an error", size, token, m)
+			}
+		}
+	}
+}
+
+// staleView is the view of a successor whose first reports do not show the hold of the
+// rank holder and that the rank unseen is armed, whose order to disarm the rank late is
+// carried out late, and which is suspended at its orders to disarm.
+type staleView struct {
+	*fakeGroup
+	holder, unseen, late int
+	mu                   sync.Mutex
+	reads                int
+	lateOrders           []Order
+}
+
+// Report implements Ranks.Report.
+func (v *staleView) Report(ctx context.Context, m Member) (Report, error) {
+	r, err := v.fakeGroup.Report(ctx, m)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.reads++; v.reads <= len(v.ranks) {
+		if m.Rank == v.holder {
+			r.Held = -1
+		}
+		if m.Rank == v.unseen {
+			r.Armed = 0
+		}
+	}
+	return r, err
+}
+
+// Order implements Ranks.Order.
+func (v *staleView) Order(ctx context.Context, m Member, o Order) error {
+	if o.Op != Disarm {
+		return v.fakeGroup.Order(ctx, m, o)
+	}
+	if m.Rank == v.late {
+		v.mu.Lock()
+		v.lateOrders = append(v.lateOrders, o)
+		v.mu.Unlock()
+	} else {
+		_ = v.fakeGroup.Order(ctx, m, o)
+	}
+	time.Sleep(time.Hour)
+	return context.Canceled
+}
+
+// TestSuspendedRollback suspends a successor in a rollback of a change whose hold its
+// reports did not show. The next one must not complete that change, since a late order of
+// the rollback would then disarm one rank.
+func TestSuspendedRollback(t *testing.T) {
+	for seq := range int64(5) {
+		synctest.Test(t, func(t *testing.T) {
+			const version = int64(1)<<tokenSeqBits | 1
+			list := members(5)
+			g := newFakeGroup(t, 1, len(list), 0)
+			g.unfenced, g.pass = true, 6
+			holder := roundHolder(list, version, nil).Rank
+			for i := range g.ranks {
+				g.ranks[i] = fakeRank{prepared: version, highestVersion: version, armed: version, armedPass: 7, heldPass: -1}
+			}
+			g.ranks[holder].heldPass = 7
+			second, _ := newSwitcher(g, 2)
+			*second.TokenSeq = seq
+			view := &staleView{fakeGroup: g, holder: holder, unseen: (holder + 1) % 5, late: (holder + 2) % 5}
+			second.Ranks = view
+			ctx, cancel := context.WithCancel(context.Background())
+			var running sync.WaitGroup
+			running.Go(func() { _, _, _ = second.Recover(ctx, list) })
+			time.Sleep(200 * time.Millisecond)
+			if len(view.lateOrders) != 1 {
+				t.Fatalf("%d orders are late, want 1", len(view.lateOrders))
+			}
+			third, _ := newSwitcher(g, 3)
+			third.OnTakeover = func(o Takeover) {
+				if o.Completed {
+					t.Error("change was completed while it is rolled back")
+				}
+			}
+			if _, _, err := third.Recover(ctx, list); err != nil {
+				t.Error(err)
+			}
+			for _, o := range view.lateOrders {
+				_ = g.apply(list[view.late], o)
+			}
+			g.beginPass()
+			cancel()
+			running.Wait()
+		})
+	}
+}
