--- a/internal/run/chivebalance/balancer.go
+++ b/internal/run/chivebalance/balancer.go
@@ -56,9 +56,11 @@
 	Watching func() bool
 	// Pulse tells successors that this entry VM holds a group, or that it no longer does;
 	// nil means that there are none. round is the round of the change, if it is known, and
-	// KnownRound returns the one that another holder has told of last.
+	// KnownRound returns the one that another holder has told of last, and SincePulse the
+	// time since it did so.
 	Pulse      func(held bool, round chiverank.Round)
 	KnownRound func() chiverank.Round
+	SincePulse func() time.Duration
 	// OnHold is called with the time from a hold of a group, ordered or taken over, until
 	// its release, OnTakeover when the change of an earlier holder has ended. Both may be
 	// nil.
--- a/internal/run/chivebalance/group.go
+++ b/internal/run/chivebalance/group.go
@@ -121,7 +121,7 @@
 	}
 	g.switcher = &chiverank.Switcher{
 		Ranks: b.Engine, Lease: term, Log: b.Log, Group: name, TokenSeq: tokenSeq, CurrentLayout: g.readLayout,
-		Watch: g.watch, OnHeld: term.tellRound, KnownRound: b.KnownRound, OnTakeover: b.OnTakeover,
+		Watch: g.watch, OnHeld: term.tellRound, KnownRound: b.KnownRound, SincePulse: b.SincePulse, OnTakeover: b.OnTakeover,
 	}
 	return g
 }
--- a/internal/run/chiveentry/daemon.go
+++ b/internal/run/chiveentry/daemon.go
@@ -175,8 +175,8 @@
 		Zone: settings.Entry.Zone, Fleet: d.tracker.Fleet, Candidate: d.dutyCandidate, HasEnded: d.processEnded,
 		ReportSlow: func(g string, slow map[string]float64) { runners.SetSlowRunners(chiverelay.LocalSource(g), slow) }, Log: d.log.WithPrefix("maps"),
 		Watching: func() bool { return d.mesh.WatchesHolder() }, Pulse: func(held bool, r chiverank.Round) { d.mesh.Pulse(held, r) },
-		KnownRound: func() chiverank.Round { return d.mesh.HolderRound() },
-		OnHold:     d.recordHold, OnTakeover: d.recordTakeover,
+		KnownRound: func() chiverank.Round { return d.mesh.HolderRound() }, SincePulse: func() time.Duration { return d.mesh.SincePulse() },
+		OnHold: d.recordHold, OnTakeover: d.recordTakeover,
 	}
 	d.source = &chivehub.Source{
 		Store: deps.Store, Replicas: chivehub.NewClient(), Zone: zoneView{d}, LivenessTable: settings.Tables.Operators,
--- a/internal/run/chivemesh/pulse.go
+++ b/internal/run/chivemesh/pulse.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"errors"
+	"math"
 	"net"
 	"slices"
 	"time"
@@ -197,6 +198,17 @@
 	return m.holder.last.Round
 }
 
+// SincePulse returns the time since a holder has last told that it holds a group, or a very
+// long one if it has released the group since or never held one.
+func (m *Mesh) SincePulse() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.holder.active() {
+		return math.MaxInt64
+	}
+	return m.Clock.Since(m.holder.heardAt)
+}
+
 // HolderSilent reports whether the holder of the map duty that this entry VM watches has
 // fallen silent while a group is held.
 func (m *Mesh) HolderSilent() bool {
--- a/internal/run/chivemesh/pulse_test.go
+++ b/internal/run/chivemesh/pulse_test.go
@@ -198,7 +198,11 @@
 		t.Error("pulse of an entry VM that is not registered is accepted")
 	}
 	m.handle(&Packet{Pulse: &Pulse{From: "e2", Boot: 1, SentAt: 1}})
-	if !m.WatchesHolder() || m.IsSilent("e2", 1) {
+	if !m.WatchesHolder() || m.IsSilent("e2", 1) || m.SincePulse() > time.Minute {
 		t.Error("holder is not watched, or silent at once")
 	}
+	m.handle(&Packet{Pulse: &Pulse{From: "e2", Boot: 1, SentAt: 2, Ended: true}})
+	if m.SincePulse() < time.Hour {
+		t.Error("pulse that tells the end counts as one of a holder")
+	}
 }
