Poll for late holds while the pass of a change is awaited

Cause: the report of rank 0 that shows the armed change of the holder ended the round before any poll, so that a hold by another rank's late order was never found and the group stood for good. Change: ranks are polled in these rounds, too, and all after ten reports without the pass. Direct tests of a completion where an arm fails, and of a suspension that was found in a hold.

--- a/internal/run/chivebalance/group.go
+++ b/internal/run/chivebalance/group.go
@@ -52,6 +52,9 @@
 	// maxPendingReports is the number of reports in a row that may show a change
 	// in progress although there is none, because reports are out of date.
 	maxPendingReports = 2
+	// maxAwaitedReports is the number of reports in a row without the pass of a change
+	// after which all ranks are polled: one may hold the group by a late order.
+	maxAwaitedReports = 10
 	// urgentGain is the factor by which a change must shorten steps to be made with less
 	// time for a takeover: each pass that it waits for costs callers as much again.
 	urgentGain = 2
@@ -96,6 +99,9 @@
 	slowdowns map[int]float64
 	// lastPolled is the rank whose report was read last.
 	lastPolled int
+	// awaitedReports counts the reports in a row that show that the pass of the last change
+	// has not begun yet, since all ranks were polled for that.
+	awaitedReports int
 	// heldPolls counts the polls in a row that found the group held although no change is
 	// in progress.
 	heldPolls int
@@ -170,9 +176,9 @@
 		return
 	}
 	settled := g.checkSettled(ctx, ms)
-	// A rank that has become slow delays the pass of a change that is in progress, and
-	// must be known all the same.
-	if settled || g.current != nil && g.pollAll {
+	// A rank that has become slow or holds the group by a late order delays the pass of a
+	// change that is in progress, and must be known all the same.
+	if settled || g.current != nil && (g.pollAll || g.awaitedReports > 0) {
 		g.pollSlowdowns(ctx, ms)
 	}
 	if !settled {
@@ -228,7 +234,8 @@
 			return
 		}
 	}
-	g.current, g.epoch, g.version, g.pendingReports = m, reports[0].Epoch, reports[0].Map, 0
+	g.current, g.epoch, g.version = m, reports[0].Epoch, reports[0].Map
+	g.pendingReports, g.awaitedReports = 0, 0
 	g.slowdowns, g.stepTimes, g.pollAll = map[int]float64{}, chivelimit.StepTimeDetector{}, true
 	g.idleRounds = 0
 	g.lastCounts, g.forecaster = map[int]chiverank.ExpertCounts{}, chivemap.Forecaster{}
@@ -368,12 +375,17 @@
 		return false
 	}
 	g.pollAll = g.stepTimes.Observe(bootTime(), r.Pass) || g.pollAll
+	awaited := g.awaitedReports
+	g.awaitedReports = 0
 	if r.Held < 0 && r.Armed == 0 {
 		g.pendingReports = 0
 		return true
 	}
 	if r.Held < 0 && r.Armed == g.version {
 		// The pass of the last change has not begun yet.
+		if g.awaitedReports = awaited + 1; g.awaitedReports > maxAwaitedReports {
+			g.pollAll, g.awaitedReports = true, 1
+		}
 		return false
 	}
 	// Reports are out of date, so one may still show a change that has just ended.
--- a/internal/run/chivebalance/term_test.go
+++ b/internal/run/chivebalance/term_test.go
@@ -214,3 +214,89 @@
 		})
 	}
 }
+
+// heldArmedEngine is a fakeEngine whose ranks are all armed for a version, while an order of
+// an earlier holder makes one of them hold the group.
+type heldArmedEngine struct {
+	*fakeEngine
+	version int64
+	holder  int
+}
+
+// Report implements chiverank.Ranks.Report.
+func (e *heldArmedEngine) Report(_ context.Context, m chiverank.Member) (chiverank.Report, error) {
+	r := chiverank.Report{Epoch: 1, Rank: m.Rank, Open: true, Pass: 6, Prepared: e.version, Armed: e.version, Held: -1, Pace: 1}
+	if m.Rank == e.holder {
+		r.Held = 7
+	}
+	return r, nil
+}
+
+// TestHeldWhileArmed checks that a group is read again when a rank other than the first
+// holds it by a late order before the pass of a change of the present holder.
+func TestHeldWhileArmed(t *testing.T) {
+	const version = 2<<20 | 1
+	for _, pollAll := range []bool{false, true} {
+		for holder := 1; holder < rankCount; holder++ {
+			e := &heldArmedEngine{newFakeEngine(), version, holder}
+			b := &Balancer{
+				Engine: e, Name: "a/1", Zone: "a", Fleet: testFleet, Log: log.New(io.Discard), ReportSlow: func(string, map[string]float64) {},
+				Clock: chiveclock.Now, tokenSeqs: map[string]*int64{},
+			}
+			for name, ms := range collectGroups(testFleet()) {
+				g := newGroup(name, b, newHeldTerm(t, chiveclock.Now, nil))
+				g.current, g.epoch, g.version, g.pollAll = chivemap.NewRoundRobin(rankCount, slotsPerRank, expertCount, 1), 1, version, pollAll
+				rounds := 0
+				for ; g.current != nil && rounds < 60; rounds++ {
+					g.round(context.Background(), ms)
+				}
+				if g.current != nil {
+					t.Errorf("held by rank %d: ranks are not read in %d rounds", holder, rounds)
+				}
+			}
+		}
+	}
+}
+
+// TestAwaitedPass checks that all ranks are polled when the pass of a change does not come.
+func TestAwaitedPass(t *testing.T) {
+	const version = 2<<20 | 1
+	e := &heldArmedEngine{newFakeEngine(), version, -1}
+	b := &Balancer{
+		Engine: e, Name: "a/1", Zone: "a", Fleet: testFleet, Log: log.New(io.Discard), ReportSlow: func(string, map[string]float64) {},
+		Clock: chiveclock.Now, tokenSeqs: map[string]*int64{},
+	}
+	for name, ms := range collectGroups(testFleet()) {
+		g := newGroup(name, b, newHeldTerm(t, chiveclock.Now, nil))
+		g.current, g.epoch, g.version = chivemap.NewRoundRobin(rankCount, slotsPerRank, expertCount, 1), 1, version
+		for i := range maxAwaitedReports + 1 {
+			if g.pollAll {
+				t.Errorf("all ranks are to be polled after %d reports", i)
+			}
+			g.checkSettled(context.Background(), ms)
+		}
+		if !g.pollAll || g.current == nil {
+			t.Errorf("all ranks are to be polled: %t, map is known: %t", g.pollAll, g.current != nil)
+		}
+	}
+}
+
+// TestSuspensionStays checks that a suspension in a hold counts until the lease was
+// renewed, also once nobody watches any more.
+func TestSuspensionStays(t *testing.T) {
+	now := chiveclock.Moment(time.Hour)
+	term := newHeldTerm(t, func() chiveclock.Moment { return now }, nil)
+	term.pulsedAt.Store(int64(now))
+	now = now.Add(pauseLimit + time.Millisecond)
+	if _, held := term.Held(); held {
+		t.Error("lease is held after a suspension")
+	}
+	term.pulsedAt.Store(0)
+	if _, held := term.Held(); held {
+		t.Error("lease is held after the watch although it was not renewed")
+	}
+	term.checked(now)
+	if _, held := term.Held(); !held {
+		t.Error("lease is not held after it was renewed")
+	}
+}
--- a/internal/state/chiverank/takeover_test.go
+++ b/internal/state/chiverank/takeover_test.go
@@ -542,3 +542,44 @@
 		})
 	}
 }
+
+// refusingRanks implements Ranks; one rank refuses to be armed, and orders to go are counted.
+type refusingRanks struct {
+	*fakeGroup
+	refusing int
+	released atomic.Int64
+}
+
+// Order implements Ranks.Order.
+func (r *refusingRanks) Order(ctx context.Context, m Member, o Order) error {
+	if o.Op == Arm && m.Rank == r.refusing {
+		return ErrConflict
+	}
+	if o.Op == Go {
+		r.released.Add(1)
+	}
+	return r.fakeGroup.Order(ctx, m, o)
+}
+
+// TestCompleteNeedsAllArmed checks that a completion does not release the group if one rank
+// could not be armed: its pass would begin with two maps.
+func TestCompleteNeedsAllArmed(t *testing.T) {
+	const version = int64(1)<<tokenSeqBits | 1
+	list := members(5)
+	holder := roundHolder(list, version, nil)
+	for refusing := range list {
+		g := newFakeGroup(t, 1, len(list), 0)
+		g.pass = 6
+		for i := range g.ranks {
+			g.ranks[i].prepared, g.ranks[i].highestVersion = version, version
+		}
+		g.ranks[holder.Rank].heldPass = 7
+		ranks := &refusingRanks{fakeGroup: g, refusing: refusing}
+		s, _ := newSwitcher(g, 2)
+		s.Ranks = ranks
+		u := unfinished{Round: Round{Version: version, Pass: 7}, holder: holder}
+		if err := s.complete(context.Background(), list, 1, u); err == nil || ranks.released.Load() != 0 || !g.isHeld() {
+			t.Errorf("rank %d is not armed: error %v, %d releases, held %t", refusing, err, ranks.released.Load(), g.isHeld())
+		}
+	}
+}
