--- a/internal/run/chivebalance/term_test.go
+++ b/internal/run/chivebalance/term_test.go
@@ -247,7 +247,7 @@
 				g := newGroup(name, b, newHeldTerm(t, chiveclock.Now, nil))
 				g.current, g.epoch, g.version, g.pollAll = chivemap.NewRoundRobin(rankCount, slotsPerRank, expertCount, 1), 1, version, pollAll
 				rounds := 0
-				for ; g.current != nil && rounds < 60; rounds++ {
+				for ; g.current != nil && rounds < maxAwaitedReports; rounds++ {
 					g.round(context.Background(), ms)
 				}
 				if g.current != nil {
--- a/internal/run/chiveentry/duty.go
+++ b/internal/run/chiveentry/duty.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 
+	"github.com/chiveyoke/chiveyoke/internal/run/chivemesh"
 	"github.com/chiveyoke/chiveyoke/internal/state/chiveclock"
 	"github.com/chiveyoke/chiveyoke/internal/state/chivefleet"
 )
@@ -21,23 +22,31 @@
 	return fmt.Sprintf("%s/%x", e.Name, boot)
 }
 
+// dutyPeers tells of the other entry VMs. A Mesh implements it.
+type dutyPeers interface {
+	Peers() []chivemesh.Peer
+	HolderSilent() bool
+	IsSilent(name string, boot uint64) bool
+}
+
 // processEnded reports whether a process, named as by processName, has ended or is
-// leaving, or is silent while it holds a group. A process of an entry VM that is not among the live peers counts as ended
-// once peers had time to report.
+// leaving, or is silent while it holds a group. A process of an entry VM that is not among
+// the live peers counts as ended once peers had time to report.
 func (d *Daemon) processEnded(name string) bool {
+	return hasEnded(name, d.settings.Entry, d.mesh, d.peersDiscovered)
+}
+
+func hasEnded(name string, self chivefleet.Entry, peers dutyPeers, discovered func() bool) bool {
 	entry, _, _ := strings.Cut(name, "/")
-	if entry == d.settings.Entry.Name {
-		return name != processName(d.settings.Entry, d.settings.Entry.Boot)
+	if entry == self.Name {
+		return name != processName(self, self.Boot)
 	}
-	for _, p := range d.mesh.Peers() {
+	for _, p := range peers.Peers() {
 		if p.Entry.Name == entry {
-			if d.mesh.IsSilent(entry, p.Boot) && name == processName(p.Entry, p.Boot) {
-				return true
-			}
-			return p.Leaving || name != processName(p.Entry, p.Boot)
+			return p.Leaving || name != processName(p.Entry, p.Boot) || peers.IsSilent(entry, p.Boot)
 		}
 	}
-	return d.peersDiscovered()
+	return discovered()
 }
 
 // firstRegistered reports whether this entry VM is registered and comes before all
@@ -67,11 +76,16 @@
 	if !d.peersDiscovered() && !d.firstRegistered() {
 		return false
 	}
-	if d.mesh.HolderSilent() {
+	return isNext(d.settings.Entry.Name, d.mesh)
+}
+
+// isNext reports whether the entry VM self comes next among its peers.
+func isNext(self string, peers dutyPeers) bool {
+	if peers.HolderSilent() {
 		return true
 	}
-	for _, p := range d.mesh.Peers() {
-		if p.HoldsMapDuty || !p.Leaving && p.Entry.Name < d.settings.Entry.Name && p.StoreAnsweredAt != 0 && chiveclock.Since(p.StoreAnsweredAt) < storeAnswerMaxAge {
+	for _, p := range peers.Peers() {
+		if p.HoldsMapDuty || !p.Leaving && p.Entry.Name < self && p.StoreAnsweredAt != 0 && chiveclock.Since(p.StoreAnsweredAt) < storeAnswerMaxAge {
 			return false
 		}
 	}
