Mend pulses around suspensions and failed releases

Cause: successors of a hold whose end was never told stayed in the next; the pulse goroutine read the clock twice, so that a suspension in between was missed; a renewal that began before a suspension was found undid it; after that goroutine gave up each check asked for another renewal; a failed change or rollback told the end of a hold that went on; three end pulses in one instant are lost together. Change: BeginPulses starts a hold. A suspension counts until a renewal that begins after it and is signalled once; pulses go on after the renewal. Result: TestPulsesAfterRenewal, TestPulsesWhileNotReleased, TestLostPulses, TestWatchTellsRelease and the additions to TestPulsePackets and TestWatchPulses pass, those of chivebalance and chivemesh also with -race.

--- a/internal/run/chivebalance/balancer.go
+++ b/internal/run/chivebalance/balancer.go
@@ -61,6 +61,8 @@
 	Pulse      func(held bool, round chiverank.Round)
 	KnownRound func() chiverank.Round
 	SincePulse func() time.Duration
+	// BeginPulses is called before the first Pulse of a hold; it may be nil.
+	BeginPulses func()
 	// OnHold is called with the time from a hold of a group, ordered or taken over, until
 	// its release, OnTakeover when the change of an earlier holder has ended. Both may be
 	// nil.
@@ -142,6 +144,7 @@
 // ends.
 func (b *Balancer) runDuty(ctx context.Context, keeper *chivelease.Keeper) {
 	term := newLeaseTerm(keeper, b.Clock, b.Pulse)
+	term.begin = b.BeginPulses
 	fence, _ := term.Held()
 	b.Log.Info("Acquired the lease.", "duty", leaseName, "fence", fence)
 	b.inheritDemand(keeper, fence)
@@ -164,6 +167,7 @@
 	b.holdsDuty.Store(false)
 	stop()
 	<-done
+	term.stopPulses()
 	b.groups = map[string]*group{}
 	b.Log.Info("Stopped acting under the lease.", "duty", leaseName, "fence", fence)
 }
--- a/internal/run/chivebalance/group.go
+++ b/internal/run/chivebalance/group.go
@@ -133,11 +133,11 @@
 }
 
 // watch makes successors notice when this process is suspended while the group is held.
-func (g *group) watch() (end func()) {
+func (g *group) watch() (end func(released bool)) {
 	start := g.balancer.Clock.Now()
 	stop := g.term.watch()
-	return func() {
-		stop()
+	return func(released bool) {
+		stop(released)
 		if g.balancer.OnHold != nil {
 			g.balancer.OnHold(g.balancer.Clock.Since(start))
 		}
@@ -160,7 +160,8 @@
 func (g *group) round(ctx context.Context, ms *membership) {
 	if ms.incompleteReason != "" {
 		if g.incompleteReason != ms.incompleteReason {
-			g.balancer.Log.Info("Group is incomplete, leaving its map unchanged.", "group", g.name, "epoch", ms.epoch, "known", len(ms.members), "size", ms.size, "why", ms.incompleteReason)
+			g.balancer.Log.Info("Group is incomplete, leaving its map unchanged.", "group", g.name, "epoch", ms.epoch,
+				"known", len(ms.members), "size", ms.size, "why", ms.incompleteReason)
 		}
 		g.current, g.incompleteReason = nil, ms.incompleteReason
 		return
@@ -196,7 +197,8 @@
 // improveMap changes the map if the gain under the forecast demand is worth its cost.
 func (g *group) improveMap(ctx context.Context, ms *membership, forecast chivemap.Loads) {
 	planner := chivemap.Planner{
-		Tolerance: skewTolerance, MaxNewExperts: min(maxNewExperts, ms.engine.MaxNewExperts), MaxCopies: maxCopies(ms.engine.ExpertCopyTime, g.stepTimes.StepTime()), Horizon: gainHorizonPasses, MoveCost: moveCostPasses,
+		Tolerance: skewTolerance, MaxNewExperts: min(maxNewExperts, ms.engine.MaxNewExperts),
+		MaxCopies: maxCopies(ms.engine.ExpertCopyTime, g.stepTimes.StepTime()), Horizon: gainHorizonPasses, MoveCost: moveCostPasses,
 		Slowdowns: g.rankSlowdowns(len(ms.members)),
 	}
 	next := planner.Plan(g.current, forecast)
@@ -470,7 +472,8 @@
 func (g *group) applyMap(ctx context.Context, ms *membership, next *chivemap.Map, before, after float64) {
 	moves := g.current.Moves(next)
 	start := time.Now()
-	version, err := g.switcher.Switch(ctx, ms.members, g.epoch, next.Layout(), ms.engine.ExpertCopyTime, g.stepTimes.StepTime(), before >= urgentGain*after)
+	urgent := before >= urgentGain*after
+	version, err := g.switcher.Switch(ctx, ms.members, g.epoch, next.Layout(), ms.engine.ExpertCopyTime, g.stepTimes.StepTime(), urgent)
 	if err != nil {
 		g.handleRankError("Expert map could not be changed.", err)
 		return
--- a/internal/run/chivebalance/term_test.go
+++ b/internal/run/chivebalance/term_test.go
@@ -93,7 +93,12 @@
 		if held.Load() != 12 || last.Load().Pass != 9 {
 			t.Errorf("round was not told at once, last was %+v", last.Load())
 		}
-		end()
+		end(true)
+		time.Sleep((endPulses-1)*pulsePeriod - time.Millisecond)
+		if n := ended.Load(); n != endPulses-1 {
+			t.Errorf("%d pulses tell the end at once, want them spaced", n)
+		}
+		time.Sleep(2 * time.Millisecond)
 		if n := ended.Load(); n != endPulses {
 			t.Errorf("%d pulses tell the end, want %d", n, endPulses)
 		}
@@ -102,7 +107,8 @@
 		ended.Store(0)
 		skew.Store(int64(4 * time.Second))
 		time.Sleep(10 * pulsePeriod)
-		end()
+		end(true)
+		time.Sleep(10 * pulsePeriod)
 		if held.Load() != 0 || ended.Load() != 0 {
 			t.Errorf("%d and %d pulses after a suspension, want none", held.Load(), ended.Load())
 		}
@@ -111,8 +117,10 @@
 		default:
 			t.Error("suspension was not reported")
 		}
-		term.watch()()
+		term.watch()(true)
+		time.Sleep(10 * pulsePeriod)
 		term.tellRound(chiverank.Round{Version: 4, Pass: 12})
+		term.stopPulses()
 		if held.Load() != 0 || ended.Load() != 0 {
 			t.Error("pulses in a watch that began before the lease was renewed")
 		}
@@ -300,3 +308,78 @@
 		t.Error("lease is not held after it was renewed")
 	}
 }
+
+// TestPulsesAfterRenewal checks that a suspension in a hold is signalled once, so that the
+// lease is not renewed over and over, and that pulses go on once it was renewed.
+func TestPulsesAfterRenewal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var held, skew atomic.Int64
+		clock := func() chiveclock.Moment {
+			return chiveclock.Moment(time.Now().UnixNano()).Add(time.Duration(skew.Load()))
+		}
+		term := newHeldTerm(t, clock, func(on bool, _ chiverank.Round) {
+			if on {
+				held.Add(1)
+			}
+		})
+		end := term.watch()
+		time.Sleep(2 * pulsePeriod)
+		began := clock()
+		skew.Store(int64(time.Second))
+		time.Sleep(2 * pulsePeriod)
+		<-term.suspended
+		term.checked(began)
+		if _, ok := term.Held(); ok {
+			t.Error("a renewal that began before the suspension was found counts")
+		}
+		held.Store(0)
+		term.checked(clock())
+		time.Sleep(10*pulsePeriod + pulsePeriod/2)
+		if _, ok := term.Held(); !ok || held.Load() < 10 {
+			t.Errorf("held after the renewal: %t, with %d pulses in ten periods", ok, held.Load())
+		}
+		select {
+		case <-term.suspended:
+			t.Error("one suspension is signalled twice")
+		default:
+		}
+		end(true)
+		term.stopPulses()
+	})
+}
+
+// TestPulsesWhileNotReleased checks that the end is not told while a group is still held
+// after a failed attempt, until the next watch or for retryTime.
+func TestPulsesWhileNotReleased(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var held, ended, begun atomic.Int64
+		clock := func() chiveclock.Moment { return chiveclock.Moment(time.Now().UnixNano()) }
+		term := newHeldTerm(t, clock, func(on bool, _ chiverank.Round) {
+			if on {
+				held.Add(1)
+			} else {
+				ended.Add(1)
+			}
+		})
+		term.begin = func() { begun.Add(1) }
+		term.watch()(false)
+		time.Sleep(roundInterval)
+		if held.Load() < 5 || ended.Load() != 0 {
+			t.Errorf("%d pulses and %d of an end although the group is held", held.Load(), ended.Load())
+		}
+		term.watch()(false)
+		time.Sleep(retryTime + endPulses*pulsePeriod)
+		if ended.Load() != endPulses || begun.Load() != 2 {
+			t.Errorf("%d pulses of an end in %d watches, want %d in 2", ended.Load(), begun.Load(), endPulses)
+		}
+		held.Store(0)
+		term.watch()(true)
+		term.watch()
+		time.Sleep(2 * pulsePeriod)
+		term.stopPulses()
+		time.Sleep(4 * pulsePeriod)
+		if ended.Load() > endPulses+1 {
+			t.Error("end of a watch is told in the next one")
+		}
+	})
+}
--- a/internal/run/chiveentry/daemon.go
+++ b/internal/run/chiveentry/daemon.go
@@ -176,7 +176,7 @@
 		ReportSlow: func(g string, slow map[string]float64) { runners.SetSlowRunners(chiverelay.LocalSource(g), slow) }, Log: d.log.WithPrefix("maps"),
 		Watching: func() bool { return d.mesh.WatchesHolder() }, Pulse: func(held bool, r chiverank.Round) { d.mesh.Pulse(held, r) },
 		KnownRound: func() chiverank.Round { return d.mesh.HolderRound() }, SincePulse: func() time.Duration { return d.mesh.SincePulse() },
-		OnHold: d.recordHold, OnTakeover: d.recordTakeover,
+		BeginPulses: func() { d.mesh.BeginPulses() }, OnHold: d.recordHold, OnTakeover: d.recordTakeover,
 	}
 	d.source = &chivehub.Source{
 		Store: deps.Store, Replicas: chivehub.NewClient(), Zone: zoneView{d}, LivenessTable: settings.Tables.Operators,
--- a/internal/run/chivemesh/pulse.go
+++ b/internal/run/chivemesh/pulse.go
@@ -16,8 +16,8 @@
 
 const (
 	// silenceTimeout is the time without a pulse after which the first successor takes
-	// the holder of the map duty for suspended: three missed pulses and a margin for the
-	// network. turnDelay is added for the second successor, which must not act unless the
+	// the holder of the map duty for suspended: the third missed pulse in a row and a margin
+	// for the network. turnDelay is added for the second successor, which must not act unless the
 	// first has failed, too.
 	silenceTimeout = 110 * time.Millisecond
 	turnDelay      = 100 * time.Millisecond
@@ -103,8 +103,16 @@
 	return w.silent
 }
 
+// BeginPulses makes the next pulse choose new successors, also if the release of a group was
+// never told: the holder may have been suspended before it.
+func (m *Mesh) BeginPulses() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.pulsing = false
+}
+
 // Pulse tells the successors of this entry VM that it holds a group, or no longer does.
-// The successors stay the same until then. round is the round of the change, if it is known.
+// The successors stay the same until then, or until BeginPulses. round is the round of the change, if it is known.
 func (m *Mesh) Pulse(held bool, round chiverank.Round) {
 	m.mu.Lock()
 	conn, first := m.conn, held && !m.pulsing
@@ -129,7 +137,7 @@
 }
 
 // pulsePackets returns the pulses to the successors, which are chosen from peers if no
-// pulse was sent since the last release of a group.
+// pulse was sent since the last release of a group or BeginPulses.
 func (m *Mesh) pulsePackets(held bool, round chiverank.Round, peers []Peer) []outgoingPacket {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/run/chivemesh/pulse_test.go
+++ b/internal/run/chivemesh/pulse_test.go
@@ -193,6 +193,13 @@
 	if first[0].packet.Pulse.Ended || !last[0].packet.Pulse.Ended || second[0].packet.Pulse.SentAt <= first[0].packet.Pulse.SentAt {
 		t.Error("pulses do not tell the end, or have no order")
 	}
+	m.pulsePackets(true, chiverank.Round{}, m.Peers())
+	m.neighbours["e2"].Leaving = true
+	// The holder was suspended, so that it did not tell the end.
+	m.BeginPulses()
+	if list := m.pulsePackets(true, chiverank.Round{}, m.Peers()); len(list) != 1 || list[0].to.Port != 1003 {
+		t.Errorf("pulses of a new hold go to %v, want e3", list)
+	}
 	m.handle(&Packet{Pulse: &Pulse{From: "stranger", Boot: 1, SentAt: 1}})
 	if m.WatchesHolder() {
 		t.Error("pulse of an entry VM that is not registered is accepted")
@@ -206,3 +213,25 @@
 		t.Error("pulse that tells the end counts as one of a holder")
 	}
 }
+
+// TestLostPulses checks how many pulses in a row may be lost before the holder counts as
+// silent, and that its next pulse ends that.
+func TestLostPulses(t *testing.T) {
+	for _, lost := range []int{1, 2, 3, 4} {
+		now := chiveclock.Moment(time.Hour)
+		var w holderWatch
+		w.hear(&Pulse{From: "a", Boot: 1, SentAt: now}, now)
+		silent := false
+		for range time.Duration(lost+1) * testPulsePeriod / time.Millisecond {
+			now = now.Add(time.Millisecond)
+			silent = w.check(now) || silent
+		}
+		if silent != (lost > 2) {
+			t.Errorf("%d pulses are lost: silent is %t", lost, silent)
+		}
+		w.hear(&Pulse{From: "a", Boot: 1, SentAt: now}, now)
+		if w.check(now) {
+			t.Errorf("%d pulses are lost: still silent after the next", lost)
+		}
+	}
+}
--- a/internal/state/chiverank/switcher.go
+++ b/internal/state/chiverank/switcher.go
@@ -79,9 +79,9 @@
 	// CurrentLayout returns the experts that the ranks use, per layer and rank.
 	CurrentLayout func(ctx context.Context, members []Member) ([][][]int, error)
 	// Watch is called before the group is held or released; the function that it returns
-	// is called once the group needs this switcher no longer. nil means that nobody
-	// watches.
-	Watch func() (end func())
+	// is called once the switcher has stopped, with whether it has released the group. nil
+	// means that nobody watches.
+	Watch func() (end func(released bool))
 	// OnHeld is called when the group is held for a change, before a rank is armed. It may
 	// be nil.
 	OnHeld func(Round)
@@ -105,9 +105,9 @@
 }
 
 // watch calls Watch.
-func (s *Switcher) watch() (end func()) {
+func (s *Switcher) watch() (end func(released bool)) {
 	if s.Watch == nil {
-		return func() {}
+		return func(bool) {}
 	}
 	return s.Watch()
 }
@@ -148,7 +148,9 @@
 	if err != nil {
 		return 0, err
 	}
-	defer s.watch()()
+	released := false
+	end := s.watch()
+	defer func() { end(released) }()
 	order.Map = nil
 	holder := roundHolder(members, token, nil)
 	pass, err = s.holdAhead(ctx, holder, order, pass, leadFor(passTime, urgent))
@@ -162,12 +164,14 @@
 	if err := s.orderAll(ctx, members, order, confirmTimeout); err != nil {
 		s.Log.Warn("Rolling back the map change: a rank could not be armed.", "group", s.Group, "version", token, "pass", pass, "error", err)
 		_, _, rollbackErr := s.Recover(ctx, members)
+		released = rollbackErr == nil
 		return 0, errors.Join(err, rollbackErr)
 	}
 	order.Op = Go
 	if err := s.orderUntilConfirmed(ctx, holder, order, confirmTimeout); err != nil && !errors.Is(err, ErrConflict) {
 		return 0, err
 	}
+	released = true
 	return token, nil
 }
 
--- a/internal/state/chiverank/takeover.go
+++ b/internal/state/chiverank/takeover.go
@@ -43,7 +43,8 @@
 	if settledOrArmed(reports) {
 		return reports[0].Armed == 0, reports, nil
 	}
-	defer s.watch()()
+	end := s.watch()
+	defer func() { end(err == nil) }()
 	if u, ok := findUnfinished(members, reports, s.knownRound()); ok {
 		s.Log.Warn("Group is held by an unfinished map change, completing it.", "group", s.Group, "version", u.Version, "pass", u.Pass)
 		err := s.complete(ctx, members, reports[0].Epoch, u)
--- a/internal/state/chiverank/takeover_test.go
+++ b/internal/state/chiverank/takeover_test.go
@@ -583,3 +583,53 @@
 		}
 	}
 }
+
+// failingRanks implements Ranks; every order with one of the ops fails.
+type failingRanks struct {
+	*fakeGroup
+	ops []Op
+}
+
+// Order implements Ranks.Order.
+func (f *failingRanks) Order(ctx context.Context, m Member, o Order) error {
+	if slices.Contains(f.ops, o.Op) {
+		return ErrFenced
+	}
+	return f.fakeGroup.Order(ctx, m, o)
+}
+
+// TestWatchTellsRelease checks that a watch ends as released only if the group was.
+func TestWatchTellsRelease(t *testing.T) {
+	tests := []struct {
+		give string
+		ops  []Op
+		// want is whether the last watch ends as released, held whether the group is held.
+		want, held bool
+	}{
+		{"change succeeds", nil, true, false},
+		{"hold fails, may come late", []Op{Hold}, false, false},
+		{"arm fails, rollback succeeds", []Op{Arm}, true, false},
+		{"arm and rollback fail", []Op{Arm, Go}, false, true},
+		{"release fails", []Op{Go}, false, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.give, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := newFakeGroup(t, 1, 5, 0)
+				s, _ := newSwitcher(g, 1)
+				s.Ranks = &failingRanks{g, tt.ops}
+				var released []bool
+				s.Watch = func() func(bool) {
+					return func(ok bool) { released = append(released, ok) }
+				}
+				_, _ = s.Switch(context.Background(), members(5), 1, nil, 0, 0, false)
+				if len(released) == 0 || released[len(released)-1] != tt.want {
+					t.Errorf("watches ended as released: %v, want %t at last", released, tt.want)
+				}
+				if held := g.isHeld(); held != tt.held {
+					t.Errorf("held afterwards: %t, want %t", held, tt.held)
+				}
+			})
+		})
+	}
+}
