Let a rollback without a free rank fail for 15 s only

Change: after 15 s, once orders of earlier rounds have arrived, it takes a rank that does not hold the group. Schedules with two and three ranks, and a direct test, join the tests.

--- a/internal/state/chiverank/switcher.go
+++ b/internal/state/chiverank/switcher.go
@@ -48,6 +48,10 @@
 	// confirmTimeout bounds the attempts until a rank confirms an order other than
 	// Prepare. If a rank does not confirm Arm, the change is rolled back.
 	confirmTimeout = 6 * time.Second
+	// blockedTime is how long a rollback fails if each rank may belong to the round of a
+	// change. The orders of that round have arrived by then, and the group would otherwise
+	// stand for good.
+	blockedTime = 15 * time.Second
 	// tokenSeqBits is the number of low bits of a token that hold TokenSeq; the
 	// bits above hold the fencing token of the lease.
 	tokenSeqBits = 20
@@ -99,6 +103,9 @@
 	// holds it releases. A Go of an earlier round may still arrive there, so that the next
 	// change holds the group by another rank.
 	released []Member
+	// blockedAt is when a rollback first found no rank to hold the group, zero if none did
+	// since the group was settled.
+	blockedAt time.Time
 	// minPass is the least pass of the next change in minEpoch. A Go of an earlier round
 	// before such a pass can no longer arrive, also if the group stands idle.
 	minPass, minEpoch int64
@@ -323,7 +330,14 @@
 	// pass of a change that is being rolled back.
 	holder, err := rollbackHolder(members, token, holders, reports)
 	if err != nil {
-		return err
+		if s.blockedAt.IsZero() {
+			s.blockedAt = time.Now()
+		}
+		if time.Since(s.blockedAt) < blockedTime {
+			return err
+		}
+		s.Log.Warn("Rolling back by a rank of an earlier round.", "group", s.Group, "error", err)
+		holder = roundHolder(members, token, holders)
 	}
 	o := Order{Op: Hold, Token: token, Epoch: reports[0].Epoch, Pass: pass + 1}
 	// The layout may be read before the hold is confirmed: the hold is refused unless
--- a/internal/state/chiverank/switcher_test.go
+++ b/internal/state/chiverank/switcher_test.go
@@ -302,6 +302,38 @@
 	}
 }
 
+// TestSwitchInSmallGroups is TestSwitch with so few ranks that a rollback may find none to
+// hold the group.
+func TestSwitchInSmallGroups(t *testing.T) {
+	tests := []struct {
+		give     string
+		lossRate float64
+		// replace and pauseRate are as in TestSwitch.
+		replace   bool
+		pauseRate float64
+	}{
+		{"orders are lost", 0.35, false, 0},
+		{"switchers are replaced", 0, true, 0},
+		{"orders are lost and switchers replaced", 0.35, true, 0},
+		{"switchers are suspended and replaced", 0, true, 0.1},
+	}
+	for _, tt := range tests {
+		for _, ranks := range []int{2, 3} {
+			for _, unfenced := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s, %d ranks, unfenced %t", tt.give, ranks, unfenced), func(t *testing.T) {
+					for seed := range uint64(40) {
+						synctest.Test(t, func(t *testing.T) {
+							g := newFakeGroup(t, seed, ranks, tt.lossRate)
+							g.unfenced, g.pauseRate = unfenced, tt.pauseRate
+							testSwitches(t, g, seed, tt.replace)
+						})
+					}
+				})
+			}
+		}
+	}
+}
+
 func testSwitches(t *testing.T, g *fakeGroup, seed uint64, replace bool) {
 	ranks := len(g.ranks)
 	draw := rand.New(rand.NewPCG(seed, 2))
--- a/internal/state/chiverank/takeover.go
+++ b/internal/state/chiverank/takeover.go
@@ -41,6 +41,7 @@
 		s.skipPasses(reports[0].Epoch, lastPass(reports))
 	}
 	if settledOrArmed(reports) {
+		s.blockedAt = time.Time{}
 		return reports[0].Armed == 0, reports, nil
 	}
 	end := s.watch()
--- a/internal/state/chiverank/takeover_test.go
+++ b/internal/state/chiverank/takeover_test.go
@@ -603,7 +603,7 @@
 	tests := []struct {
 		give string
 		ops  []Op
-		// want is whether the last watch ends as released, held whether the group is held.
+		// want is whether the watches end as released, held whether the group is held.
 		want, held bool
 	}{
 		{"change succeeds", nil, true, false},
@@ -623,8 +623,8 @@
 					return func(ok bool) { released = append(released, ok) }
 				}
 				_, _ = s.Switch(context.Background(), members(5), 1, nil, 0, 0, false)
-				if len(released) == 0 || released[len(released)-1] != tt.want {
-					t.Errorf("watches ended as released: %v, want %t at last", released, tt.want)
+				if len(released) == 0 || slices.Contains(released, !tt.want) {
+					t.Errorf("watches ended as released: %v, want %t", released, tt.want)
 				}
 				if held := g.isHeld(); held != tt.held {
 					t.Errorf("held afterwards: %t, want %t", held, tt.held)
@@ -633,3 +633,27 @@
 		})
 	}
 }
+
+// TestBlockedRollback checks that a group in which each rank may belong to the round of a
+// change is not rolled back at once, but does not stand for good either.
+func TestBlockedRollback(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const version = int64(1)<<tokenSeqBits | 1
+		list := members(2)
+		g := newFakeGroup(t, 1, len(list), 0)
+		for i := range g.ranks {
+			g.ranks[i] = fakeRank{prepared: version, highestVersion: version, heldPass: 1}
+		}
+		s, _ := newSwitcher(g, 2)
+		begun := time.Now()
+		for g.isHeld() {
+			if _, _, err := s.Recover(context.Background(), list); err == nil && time.Since(begun) < blockedTime {
+				t.Fatalf("group is rolled back after %v", time.Since(begun))
+			}
+			if time.Since(begun) > 2*blockedTime {
+				t.Fatal("group stands for good")
+			}
+			time.Sleep(150 * time.Millisecond)
+		}
+	})
+}
