--- a/internal/run/chivebalance/balancer.go
+++ b/internal/run/chivebalance/balancer.go
@@ -56,9 +56,13 @@
 	Watching func() bool
 	// Pulse tells successors that this entry VM holds a group, or that it no longer does;
 	// nil means that there are none. round is the round of the change, if it is known, and
-	// KnownRound returns the one that another holder has told of last.
+	// KnownRound returns the one that another holder has told of last, and SincePulse the
+	// time since it did so.
 	Pulse      func(held bool, round chiverank.Round)
 	KnownRound func() chiverank.Round
+	SincePulse func() time.Duration
+	// BeginPulses is called before the first Pulse of a hold; it may be nil.
+	BeginPulses func()
 	// OnHold is called with the time from a hold of a group, ordered or taken over, until
 	// its release, OnTakeover when the change of an earlier holder has ended. Both may be
 	// nil.
@@ -143,6 +147,7 @@
 // ends.
 func (b *Balancer) runDuty(ctx context.Context, keeper *chivelease.Keeper) {
 	term := newLeaseTerm(keeper, b.Clock, b.Pulse)
+	term.begin = b.BeginPulses
 	fence, _ := term.Held()
 	b.Log.Info("Acquired the lease.", "duty", leaseName, "fence", fence)
 	b.inheritDemand(keeper, fence)
@@ -165,6 +170,7 @@
 	b.holdsDuty.Store(false)
 	stop()
 	<-done
+	term.stopPulses()
 	b.groups = map[string]*group{}
 	b.Log.Info("Stopped acting under the lease.", "duty", leaseName, "fence", fence)
 }
--- a/internal/run/chivebalance/group.go
+++ b/internal/run/chivebalance/group.go
@@ -46,6 +46,12 @@
 	// maxPendingReports is the number of reports in a row that may show a change
 	// in progress although there is none, because reports are out of date.
 	maxPendingReports = 2
+	// maxAwaitedReports is the number of reports in a row without the pass of a change
+	// after which all ranks are polled: one may hold the group by a late order.
+	maxAwaitedReports = 10
+	// urgentGain is the factor by which a change must shorten steps to be made with less
+	// time for a takeover: each pass that it waits for costs callers as much again.
+	urgentGain = 2
 	// gainHorizonPasses is the number of forward passes over which the saved time
 	// must exceed the cost of a change.
 	gainHorizonPasses = 400
@@ -87,6 +93,9 @@
 	slowdowns map[int]float64
 	// lastPolled is the rank whose report was read last.
 	lastPolled int
+	// awaitedReports counts the reports in a row that show that the pass of the last change
+	// has not begun yet, since all ranks were polled for that.
+	awaitedReports int
 	// heldPolls counts the polls in a row that found the group held although no change is
 	// in progress.
 	heldPolls int
@@ -112,17 +121,17 @@
 	}
 	g.switcher = &chiverank.Switcher{
 		Ranks: b.Engine, Lease: term, Log: b.Log, Group: name, TokenSeq: tokenSeq, CurrentLayout: g.readLayout,
-		Watch: g.watch, OnHeld: term.tellRound, KnownRound: b.KnownRound, OnTakeover: b.OnTakeover,
+		Watch: g.watch, OnHeld: term.tellRound, KnownRound: b.KnownRound, SincePulse: b.SincePulse, OnTakeover: b.OnTakeover,
 	}
 	return g
 }
 
 // watch makes successors notice when this process is suspended while the group is held.
-func (g *group) watch() (end func()) {
+func (g *group) watch() (end func(released bool)) {
 	start := g.balancer.Clock.Now()
 	stop := g.term.watch()
-	return func() {
-		stop()
+	return func(released bool) {
+		stop(released)
 		if g.balancer.OnHold != nil {
 			g.balancer.OnHold(g.balancer.Clock.Since(start))
 		}
@@ -145,7 +154,8 @@
 func (g *group) round(ctx context.Context, ms *membership) {
 	if ms.incompleteReason != "" {
 		if g.incompleteReason != ms.incompleteReason {
-			g.balancer.Log.Info("Group is incomplete, leaving its map unchanged.", "group", g.name, "epoch", ms.epoch, "known", len(ms.members), "size", ms.size, "why", ms.incompleteReason)
+			g.balancer.Log.Info("Group is incomplete, leaving its map unchanged.", "group", g.name, "epoch", ms.epoch,
+				"known", len(ms.members), "size", ms.size, "why", ms.incompleteReason)
 		}
 		g.current, g.incompleteReason = nil, ms.incompleteReason
 		return
@@ -161,9 +171,9 @@
 		return
 	}
 	settled := g.checkSettled(ctx, ms)
-	// A rank that has become slow delays the pass of a change that is in progress, and
-	// must be known all the same.
-	if settled || g.current != nil && g.pollAll {
+	// A rank that has become slow or holds the group by a late order delays the pass of a
+	// change that is in progress, and must be known all the same.
+	if settled || g.current != nil && (g.pollAll || g.awaitedReports > 0) {
 		g.pollSlowdowns(ctx, ms)
 	}
 	if !settled {
@@ -183,7 +193,8 @@
 	passTime := g.passTime(ms)
 	thresholds := chivemap.ThresholdsFor(passTime, ms.maxPause)
 	planner := chivemap.Planner{
-		Tolerance: thresholds.Tolerance, MaxNewExperts: min(maxNewExperts, ms.engine.MaxNewExperts), MaxCopies: maxCopies(ms.engine.ExpertCopyTime, g.stepTimes.StepTime()), Horizon: gainHorizonPasses, MoveCost: moveCostPasses,
+		Tolerance: thresholds.Tolerance, MaxNewExperts: min(maxNewExperts, ms.engine.MaxNewExperts),
+		MaxCopies: maxCopies(ms.engine.ExpertCopyTime, g.stepTimes.StepTime()), Horizon: gainHorizonPasses, MoveCost: moveCostPasses,
 		Slowdowns: g.rankSlowdowns(len(ms.members)),
 	}
 	next := planner.Plan(g.current, forecast)
@@ -236,7 +247,8 @@
 			return
 		}
 	}
-	g.current, g.epoch, g.version, g.pendingReports = m, reports[0].Epoch, reports[0].Map, 0
+	g.current, g.epoch, g.version = m, reports[0].Epoch, reports[0].Map
+	g.pendingReports, g.awaitedReports = 0, 0
 	g.slowdowns, g.stepTimes, g.pollAll = map[int]float64{}, chivelimit.StepTimeDetector{}, true
 	g.idleRounds = 0
 	g.lastCounts, g.forecaster = map[int]chiverank.ExpertCounts{}, chivemap.Forecaster{}
@@ -376,12 +388,17 @@
 		return false
 	}
 	g.pollAll = g.stepTimes.Observe(bootTime(), r.Pass) || g.pollAll
+	awaited := g.awaitedReports
+	g.awaitedReports = 0
 	if r.Held < 0 && r.Armed == 0 {
 		g.pendingReports = 0
 		return true
 	}
 	if r.Held < 0 && r.Armed == g.version {
 		// The pass of the last change has not begun yet.
+		if g.awaitedReports = awaited + 1; g.awaitedReports > maxAwaitedReports {
+			g.pollAll, g.awaitedReports = true, 1
+		}
 		return false
 	}
 	// Reports are out of date, so one may still show a change that has just ended.
@@ -466,7 +483,8 @@
 func (g *group) applyMap(ctx context.Context, ms *membership, next *chivemap.Map, before, after float64) {
 	moves := g.current.Moves(next)
 	start := time.Now()
-	version, err := g.switcher.Switch(ctx, ms.members, g.epoch, next.Layout(), ms.engine.ExpertCopyTime, g.stepTimes.StepTime())
+	urgent := before >= urgentGain*after
+	version, err := g.switcher.Switch(ctx, ms.members, g.epoch, next.Layout(), ms.engine.ExpertCopyTime, g.stepTimes.StepTime(), urgent)
 	if err != nil {
 		g.handleRankError("Expert map could not be changed.", err)
 		return
--- a/internal/run/chivebalance/term_test.go
+++ b/internal/run/chivebalance/term_test.go
@@ -93,7 +93,12 @@
 		if held.Load() != 12 || last.Load().Pass != 9 {
 			t.Errorf("round was not told at once, last was %+v", last.Load())
 		}
-		end()
+		end(true)
+		time.Sleep((endPulses-1)*pulsePeriod - time.Millisecond)
+		if n := ended.Load(); n != endPulses-1 {
+			t.Errorf("%d pulses tell the end at once, want them spaced", n)
+		}
+		time.Sleep(2 * time.Millisecond)
 		if n := ended.Load(); n != endPulses {
 			t.Errorf("%d pulses tell the end, want %d", n, endPulses)
 		}
@@ -102,7 +107,8 @@
 		ended.Store(0)
 		skew.Store(int64(4 * time.Second))
 		time.Sleep(10 * pulsePeriod)
-		end()
+		end(true)
+		time.Sleep(10 * pulsePeriod)
 		if held.Load() != 0 || ended.Load() != 0 {
 			t.Errorf("%d and %d pulses after a suspension, want none", held.Load(), ended.Load())
 		}
@@ -111,6 +117,13 @@
 		default:
 			t.Error("suspension was not reported")
 		}
+		term.watch()(true)
+		time.Sleep(10 * pulsePeriod)
+		term.tellRound(chiverank.Round{Version: 4, Pass: 12})
+		term.stopPulses()
+		if held.Load() != 0 || ended.Load() != 0 {
+			t.Error("pulses in a watch that began before the lease was renewed")
+		}
 	})
 }
 
@@ -209,3 +222,164 @@
 		})
 	}
 }
+
+// heldArmedEngine is a fakeEngine whose ranks are all armed for a version, while an order of
+// an earlier holder makes one of them hold the group.
+type heldArmedEngine struct {
+	*fakeEngine
+	version int64
+	holder  int
+}
+
+// Report implements chiverank.Ranks.Report.
+func (e *heldArmedEngine) Report(_ context.Context, m chiverank.Member) (chiverank.Report, error) {
+	r := chiverank.Report{Epoch: 1, Rank: m.Rank, Open: true, Pass: 6, Prepared: e.version, Armed: e.version, Held: -1, Pace: 1}
+	if m.Rank == e.holder {
+		r.Held = 7
+	}
+	return r, nil
+}
+
+// TestHeldWhileArmed checks that a group is read again when a rank other than the first
+// holds it by a late order before the pass of a change of the present holder.
+func TestHeldWhileArmed(t *testing.T) {
+	const version = 2<<20 | 1
+	for _, pollAll := range []bool{false, true} {
+		for holder := 1; holder < rankCount; holder++ {
+			e := &heldArmedEngine{newFakeEngine(), version, holder}
+			b := &Balancer{
+				Engine: e, Name: "a/1", Zone: "a", Fleet: testFleet, Log: log.New(io.Discard), ReportSlow: func(string, map[string]float64) {},
+				Clock: chiveclock.Now, tokenSeqs: map[string]*int64{},
+			}
+			for name, ms := range collectGroups(testFleet()) {
+				g := newGroup(name, b, newHeldTerm(t, chiveclock.Now, nil))
+				g.current, g.epoch, g.version, g.pollAll = chivemap.NewRoundRobin(rankCount, slotsPerRank, expertCount, 1), 1, version, pollAll
+				rounds := 0
+				for ; g.current != nil && rounds < maxAwaitedReports; rounds++ {
+					g.round(context.Background(), ms)
+				}
+				if g.current != nil {
+					t.Errorf("held by rank %d: ranks are not read in %d rounds", holder, rounds)
+				}
+			}
+		}
+	}
+}
+
+// TestAwaitedPass checks that all ranks are polled when the pass of a change does not come.
+func TestAwaitedPass(t *testing.T) {
+	const version = 2<<20 | 1
+	e := &heldArmedEngine{newFakeEngine(), version, -1}
+	b := &Balancer{
+		Engine: e, Name: "a/1", Zone: "a", Fleet: testFleet, Log: log.New(io.Discard), ReportSlow: func(string, map[string]float64) {},
+		Clock: chiveclock.Now, tokenSeqs: map[string]*int64{},
+	}
+	for name, ms := range collectGroups(testFleet()) {
+		g := newGroup(name, b, newHeldTerm(t, chiveclock.Now, nil))
+		g.current, g.epoch, g.version = chivemap.NewRoundRobin(rankCount, slotsPerRank, expertCount, 1), 1, version
+		for i := range maxAwaitedReports + 1 {
+			if g.pollAll {
+				t.Errorf("all ranks are to be polled after %d reports", i)
+			}
+			g.checkSettled(context.Background(), ms)
+		}
+		if !g.pollAll || g.current == nil {
+			t.Errorf("all ranks are to be polled: %t, map is known: %t", g.pollAll, g.current != nil)
+		}
+	}
+}
+
+// TestSuspensionStays checks that a suspension in a hold counts until the lease was
+// renewed, also once nobody watches any more.
+func TestSuspensionStays(t *testing.T) {
+	now := chiveclock.Moment(time.Hour)
+	term := newHeldTerm(t, func() chiveclock.Moment { return now }, nil)
+	term.pulsedAt.Store(int64(now))
+	now = now.Add(pauseLimit + time.Millisecond)
+	if _, held := term.Held(); held {
+		t.Error("lease is held after a suspension")
+	}
+	term.pulsedAt.Store(0)
+	if _, held := term.Held(); held {
+		t.Error("lease is held after the watch although it was not renewed")
+	}
+	term.checked(now)
+	if _, held := term.Held(); !held {
+		t.Error("lease is not held after it was renewed")
+	}
+}
+
+// TestPulsesAfterRenewal checks that a suspension in a hold is signalled once, so that the
+// lease is not renewed over and over, and that pulses go on once it was renewed.
+func TestPulsesAfterRenewal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var held, skew atomic.Int64
+		clock := func() chiveclock.Moment {
+			return chiveclock.Moment(time.Now().UnixNano()).Add(time.Duration(skew.Load()))
+		}
+		term := newHeldTerm(t, clock, func(on bool, _ chiverank.Round) {
+			if on {
+				held.Add(1)
+			}
+		})
+		end := term.watch()
+		time.Sleep(2 * pulsePeriod)
+		began := clock()
+		skew.Store(int64(time.Second))
+		time.Sleep(2 * pulsePeriod)
+		<-term.suspended
+		term.checked(began)
+		if _, ok := term.Held(); ok {
+			t.Error("a renewal that began before the suspension was found counts")
+		}
+		held.Store(0)
+		term.checked(clock())
+		time.Sleep(10*pulsePeriod + pulsePeriod/2)
+		if _, ok := term.Held(); !ok || held.Load() < 10 {
+			t.Errorf("held after the renewal: %t, with %d pulses in ten periods", ok, held.Load())
+		}
+		select {
+		case <-term.suspended:
+			t.Error("one suspension is signalled twice")
+		default:
+		}
+		end(true)
+		term.stopPulses()
+	})
+}
+
+// TestPulsesWhileNotReleased checks that the end is not told while a group is still held
+// after a failed attempt, until the next watch or for retryTime.
+func TestPulsesWhileNotReleased(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var held, ended, begun atomic.Int64
+		clock := func() chiveclock.Moment { return chiveclock.Moment(time.Now().UnixNano()) }
+		term := newHeldTerm(t, clock, func(on bool, _ chiverank.Round) {
+			if on {
+				held.Add(1)
+			} else {
+				ended.Add(1)
+			}
+		})
+		term.begin = func() { begun.Add(1) }
+		term.watch()(false)
+		time.Sleep(roundInterval)
+		if held.Load() < 5 || ended.Load() != 0 {
+			t.Errorf("%d pulses and %d of an end although the group is held", held.Load(), ended.Load())
+		}
+		term.watch()(false)
+		time.Sleep(retryTime + endPulses*pulsePeriod)
+		if ended.Load() != endPulses || begun.Load() != 2 {
+			t.Errorf("%d pulses of an end in %d watches, want %d in 2", ended.Load(), begun.Load(), endPulses)
+		}
+		held.Store(0)
+		term.watch()(true)
+		term.watch()
+		time.Sleep(2 * pulsePeriod)
+		term.stopPulses()
+		time.Sleep(4 * pulsePeriod)
+		if ended.Load() > endPulses+1 {
+			t.Error("end of a watch is told in the next one")
+		}
+	})
+}
--- a/internal/run/chiveentry/daemon.go
+++ b/internal/run/chiveentry/daemon.go
@@ -168,9 +168,8 @@
 	// peersKnownAt is the moment at which the registered entry VMs were first read
 	// from the store, 0 before.
 	peersKnownAt atomic.Int64
-	// dutyVacantSince is the moment since which no peer has held the map duty, 0 while one
-	// does.
-	dutyVacantSince atomic.Int64
+	// vacancy belongs to the goroutine that competes for the map duty.
+	vacancy vacancy
 }
 
 // New returns a new Daemon. It sets settings.Entry.Boot to a random incarnation.
@@ -190,8 +189,8 @@
 		Zone: settings.Entry.Zone, Fleet: d.tracker.Fleet, Candidate: d.dutyCandidate, HasEnded: d.processEnded,
 		ReportSlow: func(g string, slow map[string]float64) { runners.SetSlowRunners(chiverelay.LocalSource(g), slow) }, Log: d.log.WithPrefix("maps"),
 		Watching: func() bool { return d.mesh.WatchesHolder() }, Pulse: func(held bool, r chiverank.Round) { d.mesh.Pulse(held, r) },
-		KnownRound: func() chiverank.Round { return d.mesh.HolderRound() },
-		OnHold:     d.recordHold, OnTakeover: d.recordTakeover, RecentPause: runners.RecentPause,
+		KnownRound: func() chiverank.Round { return d.mesh.HolderRound() }, SincePulse: func() time.Duration { return d.mesh.SincePulse() },
+		BeginPulses: func() { d.mesh.BeginPulses() }, OnHold: d.recordHold, OnTakeover: d.recordTakeover, RecentPause: runners.RecentPause,
 	}
 	d.source = &chivehub.Source{
 		Store: deps.Store, Replicas: chivehub.NewClient(), Zone: zoneView{d}, LivenessTable: settings.Tables.Operators,
--- a/internal/run/chiveentry/duty.go
+++ b/internal/run/chiveentry/duty.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"github.com/chiveyoke/chiveyoke/internal/policy/chiveturn"
+	"github.com/chiveyoke/chiveyoke/internal/run/chivemesh"
 	"github.com/chiveyoke/chiveyoke/internal/state/chiveclock"
 	"github.com/chiveyoke/chiveyoke/internal/state/chivefleet"
 )
@@ -22,23 +23,31 @@
 	return fmt.Sprintf("%s/%x", e.Name, boot)
 }
 
+// dutyPeers tells of the other entry VMs. A Mesh implements it.
+type dutyPeers interface {
+	Peers() []chivemesh.Peer
+	HolderSilent() bool
+	IsSilent(name string, boot uint64) bool
+}
+
 // processEnded reports whether a process, named as by processName, has ended or is
-// leaving, or is silent while it holds a group. A process of an entry VM that is not among the live peers counts as ended
-// once peers had time to report.
+// leaving, or is silent while it holds a group. A process of an entry VM that is not among
+// the live peers counts as ended once peers had time to report.
 func (d *Daemon) processEnded(name string) bool {
+	return hasEnded(name, d.settings.Entry, d.mesh, d.peersDiscovered)
+}
+
+func hasEnded(name string, self chivefleet.Entry, peers dutyPeers, discovered func() bool) bool {
 	entry, _, _ := strings.Cut(name, "/")
-	if entry == d.settings.Entry.Name {
-		return name != processName(d.settings.Entry, d.settings.Entry.Boot)
+	if entry == self.Name {
+		return name != processName(self, self.Boot)
 	}
-	for _, p := range d.mesh.Peers() {
+	for _, p := range peers.Peers() {
 		if p.Entry.Name == entry {
-			if d.mesh.IsSilent(entry, p.Boot) && name == processName(p.Entry, p.Boot) {
-				return true
-			}
-			return p.Leaving || name != processName(p.Entry, p.Boot)
+			return p.Leaving || name != processName(p.Entry, p.Boot) || peers.IsSilent(entry, p.Boot)
 		}
 	}
-	return d.peersDiscovered()
+	return discovered()
 }
 
 // firstRegistered reports whether this entry VM is registered and its turn at the duty comes
@@ -71,27 +80,39 @@
 	if !d.peersDiscovered() && !d.firstRegistered() {
 		return false
 	}
-	if d.mesh.HolderSilent() {
+	return d.vacancy.isNext(d.settings.Entry, d.mesh)
+}
+
+// vacancy tells how long no peer has held the map duty. The zero value knows of no such time.
+type vacancy struct {
+	// since is when the duty was first found vacant, 0 while a peer holds it.
+	since chiveclock.Moment
+}
+
+// isNext reports whether it is the turn of the entry VM self among its peers.
+func (v *vacancy) isNext(self chivefleet.Entry, peers dutyPeers) bool {
+	if peers.HolderSilent() {
 		return true
 	}
-	self := d.settings.Entry.TurnCandidate()
+	candidate := self.TurnCandidate()
 	var inZone []chiveturn.Candidate
-	for _, p := range d.mesh.Peers() {
+	for _, p := range peers.Peers() {
 		if p.HoldsMapDuty {
-			d.dutyVacantSince.Store(0)
+			v.since = 0
 			return false
 		}
-		peer := p.Entry.TurnCandidate()
-		if p.Leaving || chiveturn.Compare(self, peer) < 0 {
+		if p.Leaving || chiveturn.Compare(candidate, p.Entry.TurnCandidate()) < 0 {
 			continue
 		}
 		if p.StoreAnsweredAt != 0 && chiveclock.Since(p.StoreAnsweredAt) < storeAnswerMaxAge {
 			return false
 		}
-		if p.Entry.Zone == d.settings.Entry.Zone {
-			inZone = append(inZone, peer)
+		if p.Entry.Zone == self.Zone {
+			inZone = append(inZone, p.Entry.TurnCandidate())
 		}
 	}
-	d.dutyVacantSince.CompareAndSwap(0, int64(chiveclock.Now()))
-	return chiveclock.Since(chiveclock.Moment(d.dutyVacantSince.Load())) >= chiveturn.Wait(self, inZone)
+	if v.since == 0 {
+		v.since = chiveclock.Now()
+	}
+	return chiveclock.Since(v.since) >= chiveturn.Wait(candidate, inZone)
 }
--- a/internal/run/chivemesh/pulse.go
+++ b/internal/run/chivemesh/pulse.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"net"
 	"slices"
 	"time"
@@ -15,8 +16,8 @@
 
 const (
 	// silenceTimeout is the time without a pulse after which the first successor takes
-	// the holder of the map duty for suspended: three missed pulses and a margin for the
-	// network. turnDelay is added for the second successor, which must not act unless the
+	// the holder of the map duty for suspended: the third missed pulse in a row and a margin
+	// for the network. turnDelay is added for the second successor, which must not act unless the
 	// first has failed, too.
 	silenceTimeout = 110 * time.Millisecond
 	turnDelay      = 100 * time.Millisecond
@@ -25,7 +26,7 @@
 	silenceCheckGap = 120 * time.Millisecond
 	// silenceMaxAge is the time after which the usual timeout of a peer applies in place
 	// of the silence.
-	silenceMaxAge = 1500 * time.Millisecond
+	silenceMaxAge = dutyHolderTimeout
 	// successorCount is the number of entry VMs that get pulses.
 	successorCount = 2
 	// storeAnswerLimit is how long ago the store may have answered a successor.
@@ -102,8 +103,16 @@
 	return w.silent
 }
 
+// BeginPulses makes the next pulse choose new successors, also if the release of a group was
+// never told: the holder may have been suspended before it.
+func (m *Mesh) BeginPulses() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.pulsing = false
+}
+
 // Pulse tells the successors of this entry VM that it holds a group, or no longer does.
-// The successors stay the same until then. round is the round of the change, if it is known.
+// The successors stay the same until then, or until BeginPulses. round is the round of the change, if it is known.
 func (m *Mesh) Pulse(held bool, round chiverank.Round) {
 	m.mu.Lock()
 	conn, first := m.conn, held && !m.pulsing
@@ -128,7 +137,7 @@
 }
 
 // pulsePackets returns the pulses to the successors, which are chosen from peers if no
-// pulse was sent since the last release of a group.
+// pulse was sent since the last release of a group or BeginPulses.
 func (m *Mesh) pulsePackets(held bool, round chiverank.Round, peers []Peer) []outgoingPacket {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -198,6 +207,17 @@
 	return m.holder.last.Round
 }
 
+// SincePulse returns the time since a holder has last told that it holds a group, or a very
+// long one if it has released the group since or never held one.
+func (m *Mesh) SincePulse() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.holder.active() {
+		return math.MaxInt64
+	}
+	return m.Clock.Since(m.holder.heardAt)
+}
+
 // HolderSilent reports whether the holder of the map duty that this entry VM watches has
 // fallen silent while a group is held.
 func (m *Mesh) HolderSilent() bool {
--- a/internal/state/chiverank/switcher.go
+++ b/internal/state/chiverank/switcher.go
@@ -28,20 +28,30 @@
 	// prepareTimeout bounds sending Prepare to all ranks, and then waiting until
 	// they have copied their experts.
 	prepareTimeout = 8 * time.Second
-	// reportInterval is the pause between two polls of ranks that are copying.
+	// reportInterval is the pause between two polls of ranks that are copying, or whose
+	// reports may be out of date.
 	reportInterval = 25 * time.Millisecond
+	// maxReportAge is the age that a report may have, with the time that an order takes.
+	maxReportAge = 300 * time.Millisecond
 	// leadTime is the least time between a report and the pass at which the map changes: a
 	// successor takes over from a suspended switcher in this time, so that the group does
-	// not stand meanwhile. leadPasses is the number of passes if their duration is
-	// unknown, maxLeadPasses bounds it. It is doubled up to leadDoublings times while the
-	// hold arrives after that pass has begun.
-	leadTime      = 200 * time.Millisecond
-	leadPasses    = 2
-	maxLeadPasses = 5
-	leadDoublings = 5
+	// not stand meanwhile. leadPasses is the least number of passes, and slowLeadPasses
+	// that number if a pass takes at least slowPassTime, which is enough to arm all ranks;
+	// maxLeadPasses bounds it. It is doubled up to leadDoublings times while the hold
+	// arrives after that pass has begun.
+	leadTime       = 170 * time.Millisecond
+	leadPasses     = 2
+	slowLeadPasses = 1
+	slowPassTime   = 150 * time.Millisecond
+	maxLeadPasses  = 5
+	leadDoublings  = 5
 	// confirmTimeout bounds the attempts until a rank confirms an order other than
 	// Prepare. If a rank does not confirm Arm, the change is rolled back.
 	confirmTimeout = 6 * time.Second
+	// blockedTime is how long a rollback fails if each rank may belong to the round of a
+	// change. The orders of that round have arrived by then, and the group would otherwise
+	// stand for good.
+	blockedTime = 15 * time.Second
 	// tokenSeqBits is the number of low bits of a token that hold TokenSeq; the
 	// bits above hold the fencing token of the lease.
 	tokenSeqBits = 20
@@ -73,31 +83,38 @@
 	// CurrentLayout returns the experts that the ranks use, per layer and rank.
 	CurrentLayout func(ctx context.Context, members []Member) ([][][]int, error)
 	// Watch is called before the group is held or released; the function that it returns
-	// is called once the group needs this switcher no longer. nil means that nobody
-	// watches.
-	Watch func() (end func())
+	// is called once the switcher has stopped, with whether it has released the group. nil
+	// means that nobody watches.
+	Watch func() (end func(released bool))
 	// OnHeld is called when the group is held for a change, before a rank is armed. It may
 	// be nil.
 	OnHeld func(Round)
 	// KnownRound returns the round that another leaseholder has last told of; nil means
 	// that there is none.
 	KnownRound func() Round
+	// SincePulse returns the time since another leaseholder has last told that it holds a
+	// group; nil means that there is none.
+	SincePulse func() time.Duration
 	// OnTakeover is called when the change of an earlier leaseholder was completed or
 	// rolled back. It may be nil.
 	OnTakeover func(Takeover)
 
-	// released holds the ranks whose holds the last rollback released. A Go of the change
-	// that was rolled back may still arrive there.
+	// released holds the ranks that the last rollback found holding the group and whose
+	// holds it releases. A Go of an earlier round may still arrive there, so that the next
+	// change holds the group by another rank.
 	released []Member
+	// blockedAt is when a rollback first found no rank to hold the group, zero if none did
+	// since the group was settled.
+	blockedAt time.Time
 	// minPass is the least pass of the next change in minEpoch. A Go of an earlier round
 	// before such a pass can no longer arrive, also if the group stands idle.
 	minPass, minEpoch int64
 }
 
 // watch calls Watch.
-func (s *Switcher) watch() (end func()) {
+func (s *Switcher) watch() (end func(released bool)) {
 	if s.Watch == nil {
-		return func() {}
+		return func(bool) {}
 	}
 	return s.Watch()
 }
@@ -116,9 +133,10 @@
 // Switch makes all ranks use a map and returns its version. members are all ranks
 // of the group in the given epoch, ordered by rank. layout lists the experts per
 // layer and rank. copyTime is the least time that copying the experts takes; no
-// rank is polled before. passTime is the recent duration of a pass, 0 if unknown. If a
+// rank is polled before. passTime is the recent duration of a pass, 0 if unknown. An urgent
+// change leaves no more than leadPasses passes for a successor to take over. If a
 // rank cannot be armed, the change is rolled back and the error returned.
-func (s *Switcher) Switch(ctx context.Context, members []Member, epoch int64, layout [][][]int, copyTime, passTime time.Duration) (version int64, err error) {
+func (s *Switcher) Switch(ctx context.Context, members []Member, epoch int64, layout [][][]int, copyTime, passTime time.Duration, urgent bool) (version int64, err error) {
 	token, err := s.nextToken()
 	for range s.released {
 		if err == nil && slices.Contains(s.released, roundHolder(members, token, nil)) {
@@ -137,10 +155,12 @@
 	if err != nil {
 		return 0, err
 	}
-	defer s.watch()()
+	released := false
+	end := s.watch()
+	defer func() { end(released) }()
 	order.Map = nil
 	holder := roundHolder(members, token, nil)
-	pass, err = s.holdAhead(ctx, holder, order, pass, leadFor(passTime))
+	pass, err = s.holdAhead(ctx, holder, order, pass, leadFor(passTime, urgent))
 	if err != nil {
 		return 0, err
 	}
@@ -151,22 +171,27 @@
 	if err := s.orderAll(ctx, members, order, confirmTimeout); err != nil {
 		s.Log.Warn("Rolling back the map change: a rank could not be armed.", "group", s.Group, "version", token, "pass", pass, "error", err)
 		_, _, rollbackErr := s.Recover(ctx, members)
+		released = rollbackErr == nil
 		return 0, errors.Join(err, rollbackErr)
 	}
 	order.Op = Go
 	if err := s.orderUntilConfirmed(ctx, holder, order, confirmTimeout); err != nil && !errors.Is(err, ErrConflict) {
 		return 0, err
 	}
+	released = true
 	return token, nil
 }
 
 // leadFor returns the number of passes from a report to the change for a duration of
 // passes, 0 if unknown.
-func leadFor(passTime time.Duration) int64 {
-	if passTime <= 0 {
+func leadFor(passTime time.Duration, urgent bool) int64 {
+	switch {
+	case passTime >= slowPassTime:
+		return slowLeadPasses
+	case passTime <= 0 || urgent:
 		return leadPasses
 	}
-	return int64(min(maxLeadPasses, (leadTime+passTime-1)/passTime))
+	return int64(max(leadPasses, min(maxLeadPasses, (leadTime+passTime-1)/passTime)))
 }
 
 // roundHolder returns the rank that holds the group in the round of a token.
@@ -197,6 +222,28 @@
 	return list
 }
 
+// rollbackHolder returns the rank that holds the group in a rollback. It avoids those that
+// hold the group and those of the rounds that ranks report. In small groups it makes do
+// without the rounds that are over. It fails if no rank is left: the hold could then be
+// taken for that of the change that is being rolled back.
+func rollbackHolder(members []Member, token int64, held []Member, reports []*Report) (Member, error) {
+	all := slices.Concat(held, earlierHolders(members, reports))
+	if m := roundHolder(members, token, all); !slices.Contains(all, m) {
+		return m, nil
+	}
+	avoid := slices.Clone(held)
+	for _, r := range reports {
+		if r.Prepared != 0 && slices.ContainsFunc(reports, func(o *Report) bool { return o.Map != r.Prepared }) {
+			avoid = append(avoid, roundHolder(members, r.Prepared, nil))
+		}
+	}
+	m := roundHolder(members, token, avoid)
+	if slices.Contains(avoid, m) {
+		return Member{}, Error.New("no rank of %d may hold the group for a rollback", len(members))
+	}
+	return m, nil
+}
+
 // awaitPrepared waits until all ranks have copied the experts of a version. It
 // returns the highest pass reported. It fails when the group is not open in the
 // epoch, or when a rank is not prepared in time.
@@ -281,7 +328,17 @@
 	s.skipPasses(reports[0].Epoch, pass)
 	// The pass must be the next one: before a later one, the group could begin the
 	// pass of a change that is being rolled back.
-	holder := roundHolder(members, token, slices.Concat(holders, earlierHolders(members, reports)))
+	holder, err := rollbackHolder(members, token, holders, reports)
+	if err != nil {
+		if s.blockedAt.IsZero() {
+			s.blockedAt = time.Now()
+		}
+		if time.Since(s.blockedAt) < blockedTime {
+			return err
+		}
+		s.Log.Warn("Rolling back by a rank of an earlier round.", "group", s.Group, "error", err)
+		holder = roundHolder(members, token, holders)
+	}
 	o := Order{Op: Hold, Token: token, Epoch: reports[0].Epoch, Pass: pass + 1}
 	// The layout may be read before the hold is confirmed: the hold is refused unless
 	// the pass of the reports is still the last that has begun.
--- a/internal/state/chiverank/switcher_test.go
+++ b/internal/state/chiverank/switcher_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -48,6 +49,16 @@
 	// mayMix is set.
 	mixed  int
 	mayMix bool
+	// lag is the age of reports, history the states since the start if it is not 0.
+	lag     time.Duration
+	history []fakeState
+}
+
+// fakeState is the state of a fakeGroup from a time on.
+type fakeState struct {
+	at    time.Time
+	pass  int64
+	ranks []fakeRank
 }
 
 func newFakeGroup(t *testing.T, seed uint64, ranks int, lossRate float64) *fakeGroup {
@@ -73,6 +84,7 @@
 func (g *fakeGroup) beginPass() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	defer g.record()
 	next := g.pass + 1
 	for i := range g.ranks {
 		if g.ranks[i].heldPass == next {
@@ -124,9 +136,17 @@
 	return ctx.Err()
 }
 
+// record adds the state to history. The caller holds mu.
+func (g *fakeGroup) record() {
+	if g.lag > 0 {
+		g.history = append(g.history, fakeState{time.Now(), g.pass, slices.Clone(g.ranks)})
+	}
+}
+
 func (g *fakeGroup) apply(m Member, o Order) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	defer g.record()
 	r := &g.ranks[m.Rank]
 	if o.Token < r.highestToken && !g.unfenced {
 		return ErrFenced
@@ -187,9 +207,16 @@
 func (g *fakeGroup) Report(_ context.Context, m Member) (Report, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	r := g.ranks[m.Rank]
+	r, pass := g.ranks[m.Rank], g.pass
+	if len(g.history) > 0 {
+		i := len(g.history) - 1
+		for i > 0 && time.Since(g.history[i].at) < g.lag {
+			i--
+		}
+		r, pass = g.history[i].ranks[m.Rank], g.history[i].pass
+	}
 	return Report{
-		Epoch: g.epoch, Rank: m.Rank, Open: true, Pass: g.pass, Map: r.version, Prepared: r.prepared, Armed: r.armed, Held: r.heldPass,
+		Epoch: g.epoch, Rank: m.Rank, Open: true, Pass: pass, Map: r.version, Prepared: r.prepared, Armed: r.armed, Held: r.heldPass,
 	}, nil
 }
 
@@ -275,6 +302,38 @@
 	}
 }
 
+// TestSwitchInSmallGroups is TestSwitch with so few ranks that a rollback may find none to
+// hold the group.
+func TestSwitchInSmallGroups(t *testing.T) {
+	tests := []struct {
+		give     string
+		lossRate float64
+		// replace and pauseRate are as in TestSwitch.
+		replace   bool
+		pauseRate float64
+	}{
+		{"orders are lost", 0.35, false, 0},
+		{"switchers are replaced", 0, true, 0},
+		{"orders are lost and switchers replaced", 0.35, true, 0},
+		{"switchers are suspended and replaced", 0, true, 0.1},
+	}
+	for _, tt := range tests {
+		for _, ranks := range []int{2, 3} {
+			for _, unfenced := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s, %d ranks, unfenced %t", tt.give, ranks, unfenced), func(t *testing.T) {
+					for seed := range uint64(40) {
+						synctest.Test(t, func(t *testing.T) {
+							g := newFakeGroup(t, seed, ranks, tt.lossRate)
+							g.unfenced, g.pauseRate = unfenced, tt.pauseRate
+							testSwitches(t, g, seed, tt.replace)
+						})
+					}
+				})
+			}
+		}
+	}
+}
+
 func testSwitches(t *testing.T, g *fakeGroup, seed uint64, replace bool) {
 	ranks := len(g.ranks)
 	draw := rand.New(rand.NewPCG(seed, 2))
@@ -292,7 +351,7 @@
 			defer close(done)
 			for range 2 {
 				// A fenced switcher has been replaced, so it makes no further attempt.
-				if _, err := s.Switch(ctx, members(ranks), 1, nil, 50*time.Millisecond, 0); errors.Is(err, ErrFenced) {
+				if _, err := s.Switch(ctx, members(ranks), 1, nil, 50*time.Millisecond, 0, false); errors.Is(err, ErrFenced) {
 					return
 				}
 			}
@@ -348,7 +407,7 @@
 	g := newFakeGroup(t, 1, 2, 0)
 	s, lease := newSwitcher(g, 1)
 	lease.lost = true
-	if _, err := s.Switch(context.Background(), members(2), 1, nil, 0, 0); err == nil {
+	if _, err := s.Switch(context.Background(), members(2), 1, nil, 0, 0, false); err == nil {
 		t.Error("map was changed without the lease")
 	}
 }
--- a/internal/state/chiverank/takeover.go
+++ b/internal/state/chiverank/takeover.go
@@ -15,19 +15,37 @@
 // ranks in one epoch, none held or armed. It fails if a rank does not report, or has
 // a map of a later leaseholder.
 func (s *Switcher) Recover(ctx context.Context, members []Member) (settled bool, reports []*Report, err error) {
+	for range recoverTries {
+		settled, reports, err = s.recoverOnce(ctx, members)
+		if !errors.Is(err, ErrConflict) {
+			break
+		}
+	}
+	return settled, reports, err
+}
+
+// recoverTries is the number of attempts to recover a group. A rollback is refused if a
+// pass begins after the reports, until the group stands.
+const recoverTries = 4
+
+// recoverOnce makes one attempt of Recover. The error wraps ErrConflict if the group has
+// moved on since the reports.
+func (s *Switcher) recoverOnce(ctx context.Context, members []Member) (settled bool, reports []*Report, err error) {
 	start := chiveclock.Now()
-	reports, open, err := s.readGroup(ctx, members)
+	reports, open, err := s.readSince(ctx, members)
 	if err != nil || !open {
 		return false, reports, err
 	}
-	if s.minEpoch != reports[0].Epoch {
-		// Rounds of earlier leaseholders are not known.
+	if s.minEpoch != reports[0].Epoch && anyVersion(reports) {
+		// Rounds of earlier leaseholders are not known. Each has prepared a version.
 		s.skipPasses(reports[0].Epoch, lastPass(reports))
 	}
 	if settledOrArmed(reports) {
+		s.blockedAt = time.Time{}
 		return reports[0].Armed == 0, reports, nil
 	}
-	defer s.watch()()
+	end := s.watch()
+	defer func() { end(err == nil) }()
 	if u, ok := findUnfinished(members, reports, s.knownRound()); ok {
 		s.Log.Warn("Group is held by an unfinished map change, completing it.", "group", s.Group, "version", u.Version, "pass", u.Pass)
 		err := s.complete(ctx, members, reports[0].Epoch, u)
@@ -48,6 +66,21 @@
 	return false, reports, nil
 }
 
+// readSince reads the reports of all ranks as readGroup does, again while they show a group
+// that is not held but may be from before the hold that a silent leaseholder has told of.
+func (s *Switcher) readSince(ctx context.Context, members []Member) (reports []*Report, open bool, err error) {
+	for {
+		recent := s.SincePulse != nil && s.SincePulse() <= maxReportAge
+		reports, open, err = s.readGroup(ctx, members)
+		if !recent || err != nil || !open || !settledOrArmed(reports) {
+			return reports, open, err
+		}
+		if err := chiveclock.Sleep(ctx, reportInterval); err != nil {
+			return reports, false, err
+		}
+	}
+}
+
 // readGroup reads the reports of all ranks. It returns whether the group is open, with
 // all ranks in one epoch, and fails if a rank does not report, or has a map of a later
 // leaseholder.
@@ -67,6 +100,11 @@
 	return reports, true, nil
 }
 
+// anyVersion reports whether a rank has had a map other than the first one.
+func anyVersion(reports []*Report) bool {
+	return slices.ContainsFunc(reports, func(r *Report) bool { return r.Map != 0 || r.Prepared != 0 || r.Armed != 0 })
+}
+
 // lastPass returns the last pass that a rank has reported.
 func lastPass(reports []*Report) int64 {
 	var pass int64
@@ -144,10 +182,9 @@
 }
 
 // complete arms all ranks for an unfinished change, unless they are, and releases the
-// group. The orders
-// are those that the earlier leaseholder sent or would have sent, so that its late and
-// repeated ones do no harm, nor does it do harm that several successors complete the
-// same change. A rank refuses to be armed if the change was rolled back meanwhile or its
+// group. The orders are those that the earlier leaseholder sent or would have sent, so that
+// its late and repeated ones do no harm, nor does it do harm that several successors
+// complete the same change. A rank refuses to be armed if the change was rolled back meanwhile or its
 // pass has begun; the group is then not released. A rollback that begins meanwhile has a
 // hold of its own until all ranks have a newer version prepared.
 func (s *Switcher) complete(ctx context.Context, members []Member, epoch int64, u unfinished) error {
