Count what slow callers hold up once, and only while it waits

A caller that was slow in two attempts of a request was added to the share of slow callers twice and taken out once, so that the share filled up for good. A caller that was slow once stayed registered, and was cut while it had read all and waited for its runner.

Registering is idempotent for each request. A caller for which nothing waits is taken out, and put back when an event waits or a write blocks. The share counts answers and events, without the request and its body. It is a part of MemoryCounts, so that tests see it return to zero, and a gauge.

--- a/internal/run/chiveentry/metrics.go
+++ b/internal/run/chiveentry/metrics.go
@@ -63,6 +63,7 @@
 	memory := d.relay.Memory.Counts()
 	s.Gauge("callers_held_bytes").Update(float64(memory.Held))
 	s.Gauge("callers_slow").Update(float64(memory.Slow))
+	s.Gauge("callers_slow_held_bytes").Update(float64(memory.SlowHeld))
 	s.Gauge("callers_cut").Update(float64(memory.Cuts))
 	s.Gauge("memory_refusals").Update(float64(memory.Refusals))
 	s.Gauge("peers_alive").Update(float64(len(d.mesh.Peers())))
--- a/internal/run/chiverelay/answer_buffer.go
+++ b/internal/run/chiverelay/answer_buffer.go
@@ -34,7 +34,7 @@
 	defer func() {
 		if err != nil {
 			giveBack()
-			h.add(-taken)
+			h.addAnswer(-taken)
 		}
 	}()
 	answer = make([]byte, 0, initialAnswerSize)
--- a/internal/run/chiverelay/memory.go
+++ b/internal/run/chiverelay/memory.go
@@ -23,8 +23,7 @@
 type Memory struct {
 	Budget chivebudget.Budget
 
-	// held is the number of bytes that are held, slowHeld of those that are held for slow
-	// callers.
+	// held is the number of bytes that are held, slowHeld of those that slow callers hold up.
 	held, slowHeld atomic.Int64
 	// answers is the number of bytes beyond freeAnswerSize each of answers that are being
 	// read.
@@ -33,7 +32,7 @@
 	cuts, refusals atomic.Int64
 
 	mu sync.Mutex
-	// slow holds the callers that a write has blocked for.
+	// slow holds the callers that a write has blocked for and that have not read all since.
 	slow map[*holding]bool
 }
 
@@ -43,6 +42,8 @@
 	// slowly now.
 	Held int64
 	Slow int
+	// SlowHeld is the number of bytes that slow callers hold up.
+	SlowHeld int64
 	// Cuts and Refusals count the callers that were cut and the requests that were refused
 	// since the start.
 	Cuts, Refusals int64
@@ -52,7 +53,7 @@
 func (m *Memory) Counts() MemoryCounts {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return MemoryCounts{Held: m.held.Load(), Slow: len(m.slow), Cuts: m.cuts.Load(), Refusals: m.refusals.Load()}
+	return MemoryCounts{Held: m.held.Load(), Slow: len(m.slow), SlowHeld: m.slowHeld.Load(), Cuts: m.cuts.Load(), Refusals: m.refusals.Load()}
 }
 
 // maxAnswers returns the number of bytes beyond freeAnswerSize each that answers may take
@@ -75,12 +76,17 @@
 	interrupt func()
 
 	held atomic.Int64
-	// slow is set once a write to the caller has blocked.
-	slow atomic.Bool
+	// heldUp is the number of those bytes that the caller keeps by not reading, without
+	// requestSize and the body. It changes under mu.
+	heldUp atomic.Int64
 	// readAt is when the caller last read something after it was slow.
 	readAt atomic.Int64
 	// cut is set once the caller has been cut.
 	cut atomic.Bool
+
+	mu sync.Mutex
+	// slow reports whether the caller is registered as slow.
+	slow bool
 }
 
 // newHolding returns the count of what is held for the exchange.
@@ -124,33 +130,63 @@
 	if h.memory.Budget.Limited() {
 		h.held.Add(n)
 		h.memory.held.Add(n)
-		if h.slow.Load() {
-			h.memory.slowHeld.Add(n)
-		}
+	}
+}
+
+// addAnswer is add for bytes that wait for the caller.
+func (h *holding) addAnswer(n int64) {
+	if !h.memory.Budget.Limited() {
+		return
+	}
+	h.add(n)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.heldUp.Add(n)
+	if h.slow {
+		h.memory.slowHeld.Add(n)
 	}
 }
 
 // take counts n bytes of an answer. If the budget or the share of slow callers is spent, it
 // cuts slow callers, and returns false if that does not make room.
 func (h *holding) take(n int64) bool {
-	h.add(n)
+	h.addAnswer(n)
 	return h.memory.makeRoom()
 }
 
-// noteSlow registers the caller as one that reads slowly. Nothing may be counted for it at the
-// same time.
+// noteSlow registers the caller as one that reads slowly, unless it is registered.
 func (h *holding) noteSlow() {
-	h.noteRead()
-	h.slow.Store(true)
+	h.setSlow(true)
+	h.memory.makeRoom()
+}
+
+// setSlow registers the caller as slow, or as one that has read all. A caller that was cut stays
+// registered until its bytes are given back.
+func (h *holding) setSlow(slow bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.slow != slow && (slow || !h.cut.Load()) {
+		h.register(slow)
+	}
+}
+
+// register adds the caller to the slow ones, or removes it. The caller of it must hold mu.
+func (h *holding) register(slow bool) {
 	m := h.memory
-	m.slowHeld.Add(h.held.Load())
+	h.slow = slow
 	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !slow {
+		m.slowHeld.Add(-h.heldUp.Load())
+		delete(m.slow, h)
+		return
+	}
+	h.noteRead()
+	m.slowHeld.Add(h.heldUp.Load())
 	if m.slow == nil {
 		m.slow = map[*holding]bool{}
 	}
 	m.slow[h] = true
-	m.mu.Unlock()
-	m.makeRoom()
 }
 
 // noteRead records that the caller reads.
@@ -160,16 +196,13 @@
 
 // release gives back all bytes. The connection of the caller is not touched afterwards.
 func (h *holding) release() {
-	m := h.memory
-	m.mu.Lock()
-	delete(m.slow, h)
-	m.mu.Unlock()
-	if n := h.held.Swap(0); n != 0 {
-		m.held.Add(-n)
-		if h.slow.Load() {
-			m.slowHeld.Add(-n)
-		}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.slow {
+		h.register(false)
 	}
+	h.heldUp.Store(0)
+	h.memory.held.Add(-h.held.Swap(0))
 }
 
 // makeRoom cuts slow callers until the bytes that are held, without those of callers that have
@@ -180,19 +213,23 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	// Another goroutine may have made room meanwhile.
-	excess := m.Budget.Excess(m.held.Load(), m.slowHeld.Load())
+	var cutHeld, cutHeldUp int64
 	now := chiveclock.Now()
 	var list []*holding
 	var callers []chivebudget.SlowCaller
 	for h := range m.slow {
-		if h.cut.Load() {
-			excess -= h.held.Load()
-			continue
+		heldUp := h.heldUp.Load()
+		switch {
+		case h.cut.Load():
+			cutHeld, cutHeldUp = cutHeld+h.held.Load(), cutHeldUp+heldUp
+		case heldUp > 0:
+			// To cut others would free nothing.
+			list = append(list, h)
+			callers = append(callers, chivebudget.SlowCaller{Held: heldUp, Idle: now.Sub(chiveclock.Moment(h.readAt.Load()))})
 		}
-		list = append(list, h)
-		callers = append(callers, chivebudget.SlowCaller{Held: h.held.Load(), Idle: now.Sub(chiveclock.Moment(h.readAt.Load()))})
 	}
+	// Another goroutine may have made room meanwhile.
+	excess := m.Budget.Excess(m.held.Load()-cutHeld, m.slowHeld.Load()-cutHeldUp)
 	for _, i := range chivebudget.Cut(callers, excess) {
 		excess -= callers[i].Held
 		m.cuts.Add(1)
--- /dev/null
+++ b/internal/run/chiverelay/slow_resume_test.go
@@ -0,0 +1,165 @@
+package chiverelay
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/chiveyoke/chiveyoke/internal/state/chivefleet"
+)
+
+// partRunner answers with what serve writes, after the event that the caller has.
+type partRunner struct {
+	server *httptest.Server
+	// asked counts the requests.
+	asked atomic.Int32
+}
+
+// partServer writes the events after the last one that the caller has.
+type partServer func(w http.ResponseWriter, q *http.Request, last int)
+
+func newPartRunner(t *testing.T, serve partServer) *partRunner {
+	t.Helper()
+	r := &partRunner{}
+	r.server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		r.asked.Add(1)
+		last, err := strconv.Atoi(q.Header.Get("Last"))
+		if err != nil {
+			last = -1
+		}
+		w.Header().Set("Id", q.Header.Get("Id"))
+		w.Header().Set("Signature", "s")
+		serve(w, q, last)
+	}))
+	r.server.Config.ConnState = func(c net.Conn, s http.ConnState) {
+		if tcp, ok := c.(*net.TCPConn); ok && s == http.StateNew {
+			_ = tcp.SetWriteBuffer(socketSize)
+		}
+	}
+	r.server.Start()
+	t.Cleanup(r.server.CloseClientConnections)
+	return r
+}
+
+// writeEvents writes long events, from one to before another.
+func writeEvents(w http.ResponseWriter, from, to int) {
+	for n := from; n < to; n++ {
+		if _, err := io.WriteString(w, longEvent(n)); err != nil {
+			return
+		}
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
+// registerParts replaces the runners by those of rs that are not nil, p0 to pn.
+func (s *testCluster) registerParts(rs ...*partRunner) {
+	list := map[string]*chivefleet.Runner{}
+	for i, r := range rs {
+		if r != nil {
+			id := fmt.Sprint("p", i)
+			list[id] = &chivefleet.Runner{ID: id, Service: "s", Address: r.server.Listener.Addr().String(), Slots: 100}
+		}
+	}
+	s.register(list)
+}
+
+// TestSlowTwice checks that a caller which is slow in two attempts of its request gets the whole
+// stream, and that all memory is given back.
+func TestSlowTwice(t *testing.T) {
+	s, _ := newSlowCluster(t, 90, 136e6)
+	var runs atomic.Int32
+	serve := func(w http.ResponseWriter, _ *http.Request, last int) {
+		if runs.Add(1) == 1 {
+			writeEvents(w, last+1, longEventCount/2)
+			panic(http.ErrAbortHandler)
+		}
+		writeEvents(w, last+1, longEventCount)
+	}
+	s.registerParts(newPartRunner(t, serve), newPartRunner(t, serve))
+	c := s.callSlowly(t, "/stream/x", "twice", 20*time.Second)
+	if !waitFor(func() bool { return s.relay.Memory.Counts().SlowHeld > 0 }) {
+		t.Fatal("the caller is not slow")
+	}
+	var got strings.Builder
+	part := make([]byte, 8<<10)
+	for runs.Load() < 2 {
+		_ = c.conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+		n, err := c.conn.Read(part)
+		got.Write(part[:n])
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	if !waitFor(func() bool { return s.relay.Memory.Counts().SlowHeld > 0 }) {
+		t.Error("the caller is not slow a second time")
+	}
+	_ = c.conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	resp, err := http.ReadResponse(bufio.NewReader(io.MultiReader(strings.NewReader(got.String()), c.conn)), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if body, err := io.ReadAll(resp.Body); err != nil || string(body) != longStream() {
+		t.Errorf("%d of %d bytes, error %v", len(body), len(longStream()), err)
+	}
+	if !waitFor(func() bool { return s.relay.Memory.Counts() == MemoryCounts{} }) {
+		t.Errorf("memory is not given back: %+v", s.relay.Memory.Counts())
+	}
+}
+
+// TestCutSparesIdle checks that a caller which was slow, has read all and waits for its runner is
+// not cut, however long it waits, but one for which much is held.
+func TestCutSparesIdle(t *testing.T) {
+	s, _ := newSlowCluster(t, 91, 136e6)
+	resume := make(chan struct{})
+	resumeOnce := sync.OnceFunc(func() { close(resume) })
+	defer resumeOnce()
+	s.registerParts(newPartRunner(t, func(w http.ResponseWriter, q *http.Request, _ int) {
+		if q.Header.Get("Id") != "idle" {
+			writeEvents(w, 0, longEventCount)
+			return
+		}
+		writeEvents(w, 0, longEventCount/2)
+		<-resume
+		writeEvents(w, longEventCount/2, longEventCount)
+	}))
+	idle := s.callSlowly(t, "/stream/x", "idle", 30*time.Second)
+	waitFor(func() bool { return s.relay.Memory.Counts().Slow == 1 })
+	resp, err := http.ReadResponse(bufio.NewReader(idle.conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	stream := longStream()
+	begin := strings.Index(stream, fmt.Sprintf("id: %d\n", longEventCount/2))
+	if _, err := io.ReadFull(resp.Body, make([]byte, begin)); err != nil {
+		t.Fatal(err)
+	}
+	if !waitFor(func() bool { n := s.relay.Memory.Counts(); return n.Slow == 0 && n.SlowHeld == 0 }) {
+		t.Errorf("the caller has read all: %+v", s.relay.Memory.Counts())
+	}
+	// With the bytes of its request it would outweigh a caller that has just read.
+	time.Sleep(3 * time.Second)
+	hog := s.callSlowly(t, "/stream/x", "hog", 30*time.Second)
+	waitFor(func() bool { return s.relay.Memory.Counts().SlowHeld > 0 })
+	time.Sleep(50 * time.Millisecond)
+	h := &holding{memory: &s.relay.Memory}
+	if !h.take(s.relay.Memory.Budget.Total - s.relay.Memory.Counts().Held + 1) {
+		t.Error("no room is made")
+	}
+	h.release()
+	if hog.read().complete || s.relay.Memory.Counts().Cuts != 1 {
+		t.Errorf("the caller that holds most is not cut: %+v", s.relay.Memory.Counts())
+	}
+	resumeOnce()
+	if rest, err := io.ReadAll(resp.Body); err != nil || string(rest) != stream[begin:] {
+		t.Errorf("the idle caller got %d of %d bytes, error %v", len(rest), len(stream)-begin, err)
+	}
+}
--- a/internal/run/chiverelay/stream_buffer.go
+++ b/internal/run/chiverelay/stream_buffer.go
@@ -71,10 +71,9 @@
 
 // push adds an event, or the error that ends the stream.
 func (b *streamBuffer) push(event []byte, err error) {
-	grown := b.store(event, err)
-	if grown > 0 {
+	if b.store(event, err) > 0 {
 		// If it makes no room the caller was cut itself.
-		b.holding.take(grown)
+		b.holding.memory.makeRoom()
 	}
 	b.changed.Broadcast()
 }
@@ -89,7 +88,7 @@
 	}
 	if len(b.blocks) == 0 && b.writing == 0 {
 		// Until now the caller had nothing to read.
-		b.holding.noteRead()
+		b.holding.setSlow(true)
 	}
 	for len(event) > 0 {
 		last := len(b.blocks) - 1
@@ -103,6 +102,7 @@
 		event = event[n:]
 	}
 	b.size += grown
+	b.holding.addAnswer(grown)
 	return grown
 }
 
@@ -116,6 +116,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.freeWritten()
+	if len(b.blocks) == 0 {
+		// The caller holds nothing up until the runner has sent more.
+		b.holding.setSlow(false)
+	}
 	for len(b.blocks) == 0 && b.err == nil {
 		b.changed.Wait()
 	}
@@ -132,7 +136,7 @@
 // freeWritten gives back the block that was written. The caller must hold mu.
 func (b *streamBuffer) freeWritten() {
 	b.size -= b.writing
-	b.holding.add(-b.writing)
+	b.holding.addAnswer(-b.writing)
 	b.writing = 0
 	b.changed.Broadcast()
 }
@@ -150,6 +154,6 @@
 	<-b.done
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.holding.add(-b.size)
+	b.holding.addAnswer(-b.size)
 	b.blocks, b.size, b.writing = nil, 0, 0
 }
