Keep no places for a slow caller whose attempt has ended

When the attempt of a slow caller broke off or migrated, its runner and the one reserved next were counted as busy until the caller had read what was buffered, and the request then went to the reserved runner even if that had left meanwhile.

The attempt ends, its connection closes and both places are released when reading fails; the retry that was charged for a migration is kept. A runner that was reserved is used only if it is still open. Tests resume and migrate with buffered events, with and without a limit on memory.

--- a/internal/run/chiverelay/attempt.go
+++ b/internal/run/chiverelay/attempt.go
@@ -240,6 +240,7 @@
 	count := 0
 	buffer := newStreamBuffer(x.holding, events, func() ([]byte, error) { return x.readEvent(ctx, runner, events, &count) })
 	defer buffer.close()
+	buffer.onError = x.giveUpNext
 	out := x.newCallerWriter()
 	defer out.close()
 	out.onBlocked = buffer.readOn
@@ -282,6 +283,7 @@
 			}
 			x.noteUnbounded(runner, err)
 			x.recordFailure(ctx, runner.ID, fmt.Sprintf("runner %s broke off its stream after event %d: %v", runner.ID, x.lastEvent, err))
+			x.endAttempt(false)
 			return nil, err
 		}
 		if e.ID >= 0 && e.ID <= x.lastEvent {
@@ -293,6 +295,16 @@
 	}
 }
 
+// giveUpNext releases the runner of the attempt and the one that is reserved for the request, for
+// it is unknown when the caller has read what has arrived. The retry is charged already.
+func (x *exchange) giveUpNext() {
+	if next := x.releaseRunner(); next != nil {
+		x.relay.State.Release(next.ID)
+		x.retryTaken = true
+	}
+	x.releaseRunner = func() *chivefleet.Runner { return nil }
+}
+
 // recordPause records the time since the last event, if the route has a target for
 // it.
 func (x *exchange) recordPause() {
--- a/internal/run/chiverelay/closed_group.go
+++ b/internal/run/chiverelay/closed_group.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/chiveyoke/chiveyoke/internal/state/chiveclock"
@@ -48,6 +49,11 @@
 	return open
 }
 
+// isOpen reports whether a runner that was reserved may still take the request.
+func (x *exchange) isOpen(runner *chivefleet.Runner) bool {
+	return slices.ContainsFunc(x.openRunners(), func(r *chivefleet.Runner) bool { return r.Incarnation() == runner.Incarnation() })
+}
+
 // awaitGroup waits a moment if the last reservation failed because a group is being
 // formed. It reports whether another one is to be tried.
 func (x *exchange) awaitGroup(ctx context.Context) bool {
--- a/internal/run/chiverelay/relay.go
+++ b/internal/run/chiverelay/relay.go
@@ -224,12 +224,17 @@
 			"ran", x.mayHaveRun, "again", retry, "moved", next != nil, "left", formatMillis(chiveclock.Until(x.deadline)), "event", x.lastEvent, "parts", x.request.Parts, "fingerprint", x.fingerprint)
 		if next != nil && (!retry || !x.recheckKey()) {
 			x.relay.State.Release(next.ID)
-			retry = false
+			retry, next = false, nil
 		}
 		if !retry {
 			x.respondUnserved(ctx)
 			return
 		}
+		if next != nil && !x.isOpen(next) {
+			// It has left since it was reserved.
+			x.relay.State.Release(next.ID)
+			next, x.retryTaken = nil, true
+		}
 		runner = next
 	}
 }
--- a/internal/run/chiverelay/slow_resume_test.go
+++ b/internal/run/chiverelay/slow_resume_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -89,6 +90,9 @@
 	if !waitFor(func() bool { return s.relay.Memory.Counts().SlowHeld > 0 }) {
 		t.Fatal("the caller is not slow")
 	}
+	if !waitFor(func() bool { return len(s.relay.State.LocalLoad()) == 0 }) {
+		t.Errorf("the runner that broke off is not free: %v", s.relay.State.LocalLoad())
+	}
 	var got strings.Builder
 	part := make([]byte, 8<<10)
 	for runs.Load() < 2 {
@@ -163,3 +167,94 @@
 		t.Errorf("the idle caller got %d of %d bytes, error %v", len(rest), len(stream)-begin, err)
 	}
 }
+
+// TestMigrationOfSlow checks that a request which migrates while its caller is slow keeps no
+// place meanwhile, does not go to a runner that has left, and ends with the whole stream.
+func TestMigrationOfSlow(t *testing.T) {
+	s, _ := newSlowCluster(t, 93, 136e6)
+	release := make(chan struct{})
+	defer close(release)
+	var runs atomic.Int32
+	serve := func(w http.ResponseWriter, q *http.Request, last int) {
+		if runs.Add(1) > 1 {
+			writeEvents(w, last+1, longEventCount)
+			return
+		}
+		writeEvents(w, last+1, longEventCount/2)
+		select {
+		case <-release:
+		case <-q.Context().Done():
+		}
+	}
+	rs := []*partRunner{newPartRunner(t, serve), newPartRunner(t, serve), newPartRunner(t, serve)}
+	s.registerParts(rs...)
+	c := s.callSlowly(t, "/stream/x", "moves", 20*time.Second)
+	waitFor(func() bool { return s.relay.Memory.Counts().SlowHeld >= 100<<10 })
+	first := slices.IndexFunc(rs, func(r *partRunner) bool { return r.asked.Load() > 0 })
+	left := (first + 1) % len(rs)
+	// Of two runners that may be reserved, the one that is reserved leaves.
+	s.relay.State.SetSlowRunners("holder", map[string]float64{fmt.Sprint("p", first): 12})
+	waitFor(func() bool { return s.relay.State.LocalLoad()[fmt.Sprint("p", first)] == 0 })
+	for id, n := range s.relay.State.LocalLoad() {
+		t.Errorf("%d places are kept at %s while the caller reads nothing", n, id)
+		if i := slices.Index([]string{"p0", "p1", "p2"}, id); i >= 0 && i != first {
+			left = i
+		}
+	}
+	remaining := slices.Clone(rs)
+	remaining[left] = nil
+	s.registerParts(remaining...)
+	time.Sleep(100 * time.Millisecond)
+	if g := c.read(); !g.complete || g.body != longStream() {
+		t.Errorf("the caller got %d of %d bytes, complete: %t", len(g.body), len(longStream()), g.complete)
+	}
+	if n := rs[left].asked.Load(); n > 0 {
+		t.Errorf("p%d was sent %d requests after it had left", left, n)
+	}
+	if n := runs.Load(); n != 2 {
+		t.Errorf("%d attempts", n)
+	}
+	if !waitFor(func() bool { return len(s.relay.State.LocalLoad()) == 0 && s.relay.Memory.Counts() == MemoryCounts{} }) {
+		t.Errorf("load %v, %+v", s.relay.State.LocalLoad(), s.relay.Memory.Counts())
+	}
+}
+
+// TestMigrationToLeft checks the same where memory is not limited, so that the caller holds up
+// the attempt and the runner that is reserved.
+func TestMigrationToLeft(t *testing.T) {
+	s, _ := newSlowCluster(t, 95, 0)
+	var runs atomic.Int32
+	serve := func(w http.ResponseWriter, q *http.Request, last int) {
+		if runs.Add(1) > 1 {
+			writeEvents(w, last+1, longEventCount)
+			return
+		}
+		writeEvents(w, last+1, longEventCount/2)
+		<-q.Context().Done()
+	}
+	rs := []*partRunner{newPartRunner(t, serve), newPartRunner(t, serve), newPartRunner(t, serve)}
+	s.registerParts(rs...)
+	c := s.callSlowly(t, "/stream/x", "moves", 20*time.Second)
+	time.Sleep(200 * time.Millisecond)
+	first := slices.IndexFunc(rs, func(r *partRunner) bool { return r.asked.Load() > 0 })
+	s.relay.State.SetSlowRunners("holder", map[string]float64{fmt.Sprint("p", first): 12})
+	left := slices.IndexFunc(rs, func(r *partRunner) bool {
+		i := slices.Index(rs, r)
+		return i != first && s.relay.State.LocalLoad()[fmt.Sprint("p", i)] > 0
+	})
+	if left < 0 {
+		t.Fatalf("no runner is reserved: %v", s.relay.State.LocalLoad())
+	}
+	remaining := slices.Clone(rs)
+	remaining[left] = nil
+	s.registerParts(remaining...)
+	if g := c.read(); !g.complete || g.body != longStream() {
+		t.Errorf("the caller got %d of %d bytes, complete: %t", len(g.body), len(longStream()), g.complete)
+	}
+	if n := rs[left].asked.Load(); n > 0 {
+		t.Errorf("p%d was sent %d requests after it had left", left, n)
+	}
+	if !waitFor(func() bool { return len(s.relay.State.LocalLoad()) == 0 }) {
+		t.Errorf("load %v", s.relay.State.LocalLoad())
+	}
+}
--- a/internal/run/chiverelay/stream_buffer.go
+++ b/internal/run/chiverelay/stream_buffer.go
@@ -18,6 +18,9 @@
 	// read returns the next event that the caller lacks. Only one goroutine calls it at a
 	// time.
 	read func() ([]byte, error)
+	// onError is called when read has failed while events may wait for the caller. It may be
+	// nil.
+	onError func()
 	// limit is the number of bytes up to which events are read ahead.
 	limit int64
 
@@ -54,6 +57,9 @@
 		defer close(b.done)
 		for b.awaitRoom() {
 			event, err := b.read()
+			if err != nil && b.onError != nil {
+				b.onError()
+			}
 			b.push(event, err)
 		}
 	}()
