End the work on the request of a caller that is cut

Cutting a caller only ended its writes: an attempt went on until the next write, and a request whose runner broke off meanwhile was sent again. The context of the request is cancelled, too, and its connection aborted.

--- a/internal/run/chiverelay/memory.go
+++ b/internal/run/chiverelay/memory.go
@@ -72,8 +72,10 @@
 	id     string
 	// conn is the connection of the caller, nil if it is not known.
 	conn net.Conn
-	// interrupt ends a write to the caller.
+	// interrupt ends a write to the caller, cancel the work on its request; cancel is set
+	// before the caller can be slow.
 	interrupt func()
+	cancel    context.CancelFunc
 
 	held atomic.Int64
 	// heldUp is the number of those bytes that the caller keeps by not reading, without
@@ -240,8 +242,8 @@
 	return excess <= 0
 }
 
-// cutCaller resets the connection of the caller, so that what the kernel holds for it is
-// discarded, too.
+// cutCaller ends the work on the request and resets the connection of the caller, so that what
+// the kernel holds for it is discarded, too.
 func (h *holding) cutCaller() {
 	h.cut.Store(true)
 	if tcp, ok := h.conn.(*net.TCPConn); ok {
@@ -249,6 +251,7 @@
 		_ = tcp.SetLinger(0)
 	}
 	h.interrupt()
+	h.cancel()
 }
 
 // connKey is the key of the caller's connection in the context of a request.
--- a/internal/run/chiverelay/relay.go
+++ b/internal/run/chiverelay/relay.go
@@ -203,6 +203,7 @@
 	x.relay.Crashes.countRequest(x.suspects())
 	ctx, cancel := context.WithTimeout(x.r.Context(), chiveclock.Until(x.deadline))
 	defer cancel()
+	x.holding.cancel = cancel
 	var runner *chivefleet.Runner
 	for {
 		if runner == nil {
@@ -343,6 +344,9 @@
 // an error, or aborts the connection if the caller is gone or has part of a stream.
 func (x *exchange) respondUnserved(ctx context.Context) {
 	switch {
+	case x.holding.cut.Load():
+		x.cause = errCut.Error()
+		panic(http.ErrAbortHandler)
 	case x.r.Context().Err() != nil:
 		x.cause = "caller left"
 		panic(http.ErrAbortHandler)
