Let the tests of slow callers fail where they should

TestSlowCallerLeaves could not fail: its stream ended by itself, and its bound was ten times that of the rule. TestFullBuffer takes its place, with a stream beyond the bound per caller, which it checks as well, and half a second. TestCutWhileIdle cuts a caller while its runner is silent. TestLateCopy collected outcomes and did not read them. TestManySlowCallers failed on a busy machine: a runner cut off what was unread for 2 s, and sound callers tried for 4 s. Now all answers must be read while no slow caller reads, within the runner's minute, and sound callers have five tries, as many as fitted into 4 s.

--- a/internal/run/chiverelay/late_copy_test.go
+++ b/internal/run/chiverelay/late_copy_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/chiveyoke/chiveyoke/internal/policy/chiveverdict"
 	"github.com/chiveyoke/chiveyoke/internal/state/chivefleet"
 )
 
@@ -97,8 +98,8 @@
 				s := newTestCluster(t, 80, 0)
 				r := newCopyRunner(t, tt.extra, delay)
 				s.register(map[string]*chivefleet.Runner{"c": {ID: "c", Service: "s", Address: r.listener.Addr().String(), Slots: 4}})
-				var outcomes []Outcome
-				s.relay.Observe = func(o Outcome) { outcomes = append(outcomes, o) }
+				outcomes := make(chan Outcome, 2)
+				s.relay.Observe = func(o Outcome) { outcomes <- o }
 				if g := s.send(t.Context(), t, "/any/x", "first", ""); g.status != http.StatusOK {
 					t.Fatalf("%s: status %d of the first request", name, g.status)
 				}
@@ -110,6 +111,11 @@
 				if g.status != http.StatusOK || g.body != want || g.header.Get("Id") != "second" {
 					t.Errorf("%s: status %d, id %q, body %q", name, g.status, g.header.Get("Id"), g.body)
 				}
+				for range cap(outcomes) {
+					if o := <-outcomes; o.Verdict != chiveverdict.Ran || o.Status != http.StatusOK {
+						t.Errorf("%s: outcome %+v", name, o)
+					}
+				}
 				// Requests that may run once are sent on connections of their own.
 				if r.copied.Load() != (kind != "once") {
 					t.Errorf("%s: copied %t", name, r.copied.Load())
--- a/internal/run/chiverelay/slow_caller_test.go
+++ b/internal/run/chiverelay/slow_caller_test.go
@@ -29,15 +29,16 @@
 	longEventSize, longEventCount = 4 << 10, 160
 	// socketSize is the size of the socket buffers of long runners and slow callers.
 	socketSize = 16 << 10
-	// soundDeadline is how long a caller that reads at once comes back after refusals.
-	soundDeadline = 4 * time.Second
+	// soundTries is how often a caller that reads at once sends its request if it is refused.
+	soundTries = 5
 )
 
 // longRunner is a runner with few slots that answers with long streams, and cuts off those that
-// stay unread for unreadTime.
+// stay unread for unreadTime, or for a time of its own.
 type longRunner struct {
-	server *httptest.Server
-	slots  int32
+	server     *httptest.Server
+	slots      int32
+	unreadTime time.Duration
 	// cutOff counts the answers that were not read, ended the streams that were read to
 	// their end.
 	running, cutOff, ended atomic.Int32
@@ -61,7 +62,7 @@
 
 func newLongRunner(t *testing.T, slots int32) *longRunner {
 	t.Helper()
-	r := &longRunner{slots: slots}
+	r := &longRunner{slots: slots, unreadTime: unreadTime}
 	r.server = httptest.NewUnstartedServer(r)
 	r.server.Config.ConnState = func(c net.Conn, s http.ConnState) {
 		if tcp, ok := c.(*net.TCPConn); ok && s == http.StateNew {
@@ -91,12 +92,12 @@
 	}
 	c := http.NewResponseController(w)
 	if strings.HasPrefix(q.URL.Path, "/any/") {
-		_ = c.SetWriteDeadline(time.Now().Add(unreadTime))
+		_ = c.SetWriteDeadline(time.Now().Add(r.unreadTime))
 		r.count(io.WriteString(w, longStream()))
 		return
 	}
 	for n := range longEventCount {
-		_ = c.SetWriteDeadline(time.Now().Add(unreadTime))
+		_ = c.SetWriteDeadline(time.Now().Add(r.unreadTime))
 		_, err := io.WriteString(w, longEvent(n))
 		if err == nil {
 			err = c.Flush()
@@ -228,7 +229,7 @@
 
 // TestManySlowCallers answers a load of 200 callers that read nothing of long answers, at an
 // entry VM with 136 MB: sound callers are served as without them, what is held stays within the
-// budget, and no runner cuts off an answer. Its twin, without a limit on memory, serves them
+// budget, and no answer stays at its runner until its caller reads. Its twin, without a limit on memory, serves them
 // worse.
 func TestManySlowCallers(t *testing.T) {
 	for _, limited := range []bool{true, false} {
@@ -237,6 +238,10 @@
 			memory = 136e6
 		}
 		s, runners := newSlowCluster(t, 71, memory, 8, 8)
+		for _, r := range runners {
+			// Answers end because they are read, not after a time.
+			r.unreadTime = time.Minute
+		}
 		var callers sync.WaitGroup
 		ctx, cancel := context.WithCancel(t.Context())
 		for i := range 200 {
@@ -260,8 +265,8 @@
 		}
 		var peak int64
 		for i := range count {
-			// Callers come back after a refusal, as the slow ones do, until their deadline.
-			for start := time.Now(); time.Since(start) < soundDeadline; time.Sleep(retryAfter) {
+			// Callers come back after a refusal, as the slow ones do.
+			for range soundTries {
 				g := s.send(t.Context(), t, "/any/short", fmt.Sprint("sound-", i), "body")
 				if g.status == http.StatusOK && g.complete {
 					served++
@@ -269,19 +274,22 @@
 				if g.status != http.StatusServiceUnavailable {
 					break
 				}
+				time.Sleep(retryAfter)
 			}
 			peak = max(peak, s.relay.Memory.Counts().Held)
 			time.Sleep(20 * time.Millisecond)
 		}
+		// The slow callers have read nothing yet.
+		read := waitFor(func() bool { return runners[0].running.Load()+runners[1].running.Load() == 0 })
 		var cutOff, ended int32
 		for _, r := range runners {
 			cutOff, ended = cutOff+r.cutOff.Load(), ended+r.ended.Load()
 		}
-		t.Logf("limited %t: %d of %d served, at most %d KB held, %d answers read, %d cut off", limited, served, count, peak>>10, ended, cutOff)
-		if limited && (served < count*98/100 || cutOff > 0 || peak > s.relay.Memory.Budget.Total) {
-			t.Errorf("%d of %d sound callers are served, %d answers cut off, %d of %d bytes held", served, count, cutOff, peak, s.relay.Memory.Budget.Total)
+		t.Logf("limited %t: %d of %d served, at most %d KB held, %d answers read, %d cut off, none left: %t", limited, served, count, peak>>10, ended, cutOff, read)
+		if limited && (served < count*98/100 || !read || cutOff > 0 || peak > s.relay.Memory.Budget.Total) {
+			t.Errorf("%d of %d sound callers are served, %d answers cut off, none left: %t, %d of %d bytes held", served, count, cutOff, read, peak, s.relay.Memory.Budget.Total)
 		}
-		if !limited && served >= count*98/100 && cutOff == 0 {
+		if !limited && served >= count*98/100 && read && cutOff == 0 {
 			t.Error("the twin serves as well")
 		}
 		cancel()
@@ -353,14 +361,102 @@
 	h.release()
 }
 
-// TestSlowCallerLeaves checks that the work of the runner ends when a slow caller leaves.
-func TestSlowCallerLeaves(t *testing.T) {
-	s, runners := newSlowCluster(t, 74, 64e6, 1)
-	c := s.callSlowly(t, "/stream/x", "leaves", 20*time.Second)
-	waitFor(func() bool { return s.relay.Memory.Counts().Slow == 1 })
-	_ = c.conn.Close()
-	if !waitFor(func() bool { return runners[0].running.Load() == 0 && s.relay.Memory.Counts().Held == 0 }) {
-		t.Errorf("%d requests run, %+v", runners[0].running.Load(), s.relay.Memory.Counts())
+// TestFullBuffer checks that no more is held for a caller than its bound while its runner has more
+// to send, and that the work of the runner ends within half a second once the caller leaves or
+// the deadline of its request has passed.
+func TestFullBuffer(t *testing.T) {
+	const deadline = 3 * time.Second
+	for _, leaves := range []bool{true, false} {
+		s, _ := newSlowCluster(t, 74, 136e6)
+		ended := make(chan time.Time, 1)
+		s.registerParts(newPartRunner(t, func(w http.ResponseWriter, q *http.Request, _ int) {
+			context.AfterFunc(q.Context(), func() { ended <- time.Now() })
+			// More than the bound and the sockets take.
+			writeEvents(w, 0, 4*longEventCount)
+			<-q.Context().Done()
+		}))
+		start := time.Now()
+		c := s.callSlowly(t, "/stream/x", "full", deadline)
+		perCaller := s.relay.Memory.Budget.PerCaller()
+		if !waitFor(func() bool { return s.relay.Memory.Counts().SlowHeld >= perCaller }) {
+			t.Errorf("leaves %t: the buffer is not full: %+v", leaves, s.relay.Memory.Counts())
+		}
+		time.Sleep(200 * time.Millisecond)
+		if n := s.relay.Memory.Counts(); n.SlowHeld > perCaller+2*blockSize {
+			t.Errorf("leaves %t: %d bytes are held, the bound is %d", leaves, n.SlowHeld, perCaller)
+		}
+		want := start.Add(deadline)
+		if leaves {
+			want = time.Now()
+			_ = c.conn.Close()
+		}
+		select {
+		case at := <-ended:
+			if late := at.Sub(want); late > 500*time.Millisecond || late < -500*time.Millisecond {
+				t.Errorf("leaves %t: the work of the runner ended after %v", leaves, late)
+			}
+		case <-time.After(2 * deadline):
+			t.Errorf("leaves %t: the work of the runner goes on", leaves)
+		}
+		if !leaves && c.read().complete {
+			t.Error("the response looks complete")
+		}
+		_ = c.conn.Close()
+		if !waitFor(func() bool { return s.relay.Memory.Counts() == MemoryCounts{} }) {
+			t.Errorf("leaves %t: memory is not given back: %+v", leaves, s.relay.Memory.Counts())
+		}
+	}
+}
+
+// TestCutWhileIdle checks that the response to a caller that is cut while the relay waits for the
+// runner does not look complete, and that the request is not sent again.
+func TestCutWhileIdle(t *testing.T) {
+	for _, tt := range []struct {
+		give string
+		end  func(q *http.Request)
+	}{
+		{"the runner ends its stream", func(*http.Request) {}},
+		{"the runner breaks off", func(*http.Request) { panic(http.ErrAbortHandler) }},
+		{"the runner sends no more", func(q *http.Request) { <-q.Context().Done() }},
+	} {
+		s, _ := newSlowCluster(t, 78, 136e6)
+		cut := make(chan struct{})
+		serve := func(w http.ResponseWriter, q *http.Request, last int) {
+			writeEvents(w, last+1, longEventCount)
+			<-cut
+			tt.end(q)
+		}
+		first, second := newPartRunner(t, serve), newPartRunner(t, serve)
+		s.registerParts(first, second)
+		c := s.callSlowly(t, "/stream/x", "cut", 10*time.Second)
+		waitFor(func() bool { return s.relay.Memory.Counts().Slow == 1 })
+		var h *holding
+		s.relay.Memory.mu.Lock()
+		for h = range s.relay.Memory.slow {
+		}
+		s.relay.Memory.mu.Unlock()
+		resp, err := http.ReadResponse(bufio.NewReader(c.conn), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.ReadFull(resp.Body, make([]byte, len(longStream()))); err != nil {
+			t.Fatal(err)
+		}
+		waitFor(func() bool { return s.relay.Memory.Counts().Slow == 0 })
+		// As if it had just read when it was chosen.
+		s.relay.Memory.mu.Lock()
+		h.cutCaller()
+		s.relay.Memory.mu.Unlock()
+		close(cut)
+		if _, err := io.ReadAll(resp.Body); err == nil {
+			t.Errorf("%s: the response looks complete", tt.give)
+		}
+		if n := first.asked.Load() + second.asked.Load(); n != 1 {
+			t.Errorf("%s: %d attempts", tt.give, n)
+		}
+		if !waitFor(func() bool { return len(s.relay.State.LocalLoad()) == 0 && s.relay.Memory.Counts() == MemoryCounts{} }) {
+			t.Errorf("%s: load %v, %+v", tt.give, s.relay.State.LocalLoad(), s.relay.Memory.Counts())
+		}
 	}
 }
 
