Do not blame runners for a small budget

Where the memory budget bounds the answers that are read together, an answer beyond it was logged as one that may have no end, its runner became suspect, and the request ran again at once. It now ends as one without memory: the runner is not marked, and the request is not repeated by this entry VM.

--- a/internal/run/chiverelay/answer_buffer.go
+++ b/internal/run/chiverelay/answer_buffer.go
@@ -26,8 +26,8 @@
 
 // readAnswer reads an answer to its end. It returns an error that wraps chiverunner.ErrUnbounded
 // if the answer is longer than maxAnswerSize, or if it is longer than freeAnswerSize and answers
-// have used up what they may have together, and errNoMemory if the budget is spent. Without an
-// error, release must be called when the answer is no longer needed.
+// have used up what they may have together, and errNoMemory if the budget is spent or sets that
+// bound. Without an error, release must be called when the answer is no longer needed.
 func (h *holding) readAnswer(body io.Reader) (answer []byte, release func(), err error) {
 	m, taken := h.memory, int64(0)
 	giveBack := func() { m.answers.Add(-taken) }
@@ -62,6 +62,10 @@
 			taken += more
 			fits := h.take(more)
 			if limit := m.maxAnswers(); m.answers.Add(more) > limit {
+				if limit < maxBufferedSize {
+					// The runner is not to blame for a small budget.
+					return nil, nil, errNoMemory
+				}
 				return nil, nil, fmt.Errorf("answers take more than %d bytes of memory: %w", limit, chiverunner.ErrUnbounded)
 			}
 			if !fits {
--- a/internal/run/chiverelay/attempt.go
+++ b/internal/run/chiverelay/attempt.go
@@ -186,7 +186,7 @@
 func (x *exchange) forwardWhole(ctx context.Context, runner *chivefleet.Runner, resp *http.Response, ok bool) attemptResult {
 	body, release, err := x.holding.readAnswer(resp.Body)
 	if errors.Is(err, errNoMemory) {
-		x.cause = err.Error()
+		x.cause, x.noMemory = err.Error(), true
 		return attemptFailed
 	}
 	if err != nil {
--- a/internal/run/chiverelay/relay.go
+++ b/internal/run/chiverelay/relay.go
@@ -141,6 +141,8 @@
 	brokeOff bool
 	// unbounded counts the attempts whose answer exceeded a bound on its size.
 	unbounded int
+	// noMemory reports whether an answer was given up for want of memory here.
+	noMemory bool
 	// mayHaveRun reports whether a runner may have started the request.
 	mayHaveRun bool
 	// responseStarted reports whether the caller has part of the response;
@@ -321,10 +323,11 @@
 	return true
 }
 
-// mayRetry reports whether the request may be sent again. If it was sent before,
+// mayRetry reports whether the request may be sent again: not at once if there was no memory for
+// its answer. If it was sent before,
 // the retry is charged to the retry budget of the service.
 func (x *exchange) mayRetry() bool {
-	if x.mayHaveRun && !x.route.Repeatable() {
+	if x.noMemory || x.mayHaveRun && !x.route.Repeatable() {
 		return false
 	}
 	if x.responseStarted && !x.route.Resumable {
--- a/internal/run/chiverelay/unbounded_test.go
+++ b/internal/run/chiverelay/unbounded_test.go
@@ -379,6 +379,34 @@
 	}
 }
 
+// TestAnswersBeyondBudget checks that an answer for which the budget leaves no memory is not
+// blamed on its runner, and that its request is not sent again at once.
+func TestAnswersBeyondBudget(t *testing.T) {
+	const memory = 16e6
+	for _, taken := range []int64{0, 1} {
+		s, runners := newSlowCluster(t, 79, memory, 4, 4)
+		observed := make(chan Outcome, 1)
+		s.relay.Observe = func(o Outcome) { observed <- o }
+		s.relay.Memory.answers.Add(taken * s.relay.Memory.maxAnswers())
+		g := s.send(t.Context(), t, "/any/x", "large", "body")
+		o := <-observed
+		if taken == 0 {
+			if g.status != http.StatusOK || g.body != longStream() {
+				t.Errorf("status %d with memory", g.status)
+			}
+			continue
+		}
+		if g.status != http.StatusBadGateway || o.Attempts != 1 || o.Unbounded != 0 {
+			t.Errorf("status %d, outcome %+v", g.status, o)
+		}
+		for i := range runners {
+			if until := s.relay.State.suspectUntil[fmt.Sprint("l", i)]; until != 0 {
+				t.Errorf("runner %d is suspect", i)
+			}
+		}
+	}
+}
+
 // zeroes is an endless reader.
 type zeroes struct{}
 
