Do not count a caller's slowness as a pause of its runner

When reading ahead had waited for a caller with a full buffer, the time since the last event was recorded as a pause between events, which lowers the limit of concurrent requests of all runners of the service (75 of 100 in TestPausesOfSlowCaller). The pause now begins when reading goes on.

--- a/internal/run/chiverelay/attempt.go
+++ b/internal/run/chiverelay/attempt.go
@@ -240,6 +240,7 @@
 	count := 0
 	buffer := newStreamBuffer(x.holding, events, func() ([]byte, error) { return x.readEvent(ctx, runner, events, &count) })
 	defer buffer.close()
+	buffer.onWaited = func() { x.lastEventTime = chiveclock.Now() }
 	buffer.onError = x.giveUpNext
 	out := x.newCallerWriter()
 	defer out.close()
--- a/internal/run/chiverelay/slow_resume_test.go
+++ b/internal/run/chiverelay/slow_resume_test.go
@@ -258,3 +258,43 @@
 		t.Errorf("load %v", s.relay.State.LocalLoad())
 	}
 }
+
+// TestPausesOfSlowCaller checks that the time for which a full buffer waits for its caller does
+// not count as a pause of the runner.
+func TestPausesOfSlowCaller(t *testing.T) {
+	const slots, pauseTarget, eventSize = 100, 40 * time.Millisecond, 32 << 10
+	s, _ := newSlowCluster(t, 96, 136e6)
+	for i := range s.fleet.Config.Routes {
+		s.fleet.Config.Routes[i].PauseTarget = pauseTarget
+	}
+	s.registerParts(newPartRunner(t, func(w http.ResponseWriter, _ *http.Request, _ int) {
+		for n := range 100 {
+			if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, strings.Repeat("x", eventSize)); err != nil {
+				return
+			}
+		}
+	}))
+	c := s.callSlowly(t, "/stream/x", "pauses", 30*time.Second)
+	if !waitFor(func() bool { return s.relay.Memory.Counts().SlowHeld >= s.relay.Memory.Budget.PerCaller() }) {
+		t.Fatalf("the buffer is not full: %+v", s.relay.Memory.Counts())
+	}
+	// endInterval ends an interval in which all slots were in use, and returns the limit.
+	endInterval := func() float64 {
+		s.relay.State.mu.Lock()
+		defer s.relay.State.mu.Unlock()
+		l := s.relay.State.limiter("s")
+		l.EndInterval(pauseTarget, time.Millisecond, slots, slots)
+		return l.Limit(slots)
+	}
+	endInterval()
+	for range 24 {
+		_ = c.conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+		if _, err := io.ReadFull(c.conn, make([]byte, eventSize)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * pauseTarget)
+	}
+	if limit := endInterval(); limit < slots {
+		t.Errorf("the limit of the runner has sunk to %v of %d", limit, slots)
+	}
+}
--- a/internal/run/chiverelay/stream_buffer.go
+++ b/internal/run/chiverelay/stream_buffer.go
@@ -18,6 +18,9 @@
 	// read returns the next event that the caller lacks. Only one goroutine calls it at a
 	// time.
 	read func() ([]byte, error)
+	// onWaited is called, by the goroutine that reads, when reading has waited for the caller.
+	// It may be nil.
+	onWaited func()
 	// onError is called when read has failed while events may wait for the caller. It may be
 	// nil.
 	onError func()
@@ -55,7 +58,12 @@
 	b.events.Detach()
 	go func() {
 		defer close(b.done)
-		for b.awaitRoom() {
+		// The write to the caller has blocked since the last event.
+		waited := true
+		for more := true; more; waited, more = b.awaitRoom() {
+			if waited && b.onWaited != nil {
+				b.onWaited()
+			}
 			event, err := b.read()
 			if err != nil && b.onError != nil {
 				b.onError()
@@ -65,14 +73,16 @@
 	}()
 }
 
-// awaitRoom waits until events may be read ahead. It returns false if none are needed.
-func (b *streamBuffer) awaitRoom() bool {
+// awaitRoom waits until events may be read ahead. It reports whether it had to wait, and whether
+// more events are needed.
+func (b *streamBuffer) awaitRoom() (waited, more bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for b.size >= b.limit && !b.closed {
+		waited = true
 		b.changed.Wait()
 	}
-	return !b.closed && b.err == nil
+	return waited, !b.closed && b.err == nil
 }
 
 // push adds an event, or the error that ends the stream.
