Give up events by their rate, not by time alone

An event of several packets over a lossy or squeezed link took more than 5 s, of which only the longest silence was not counted, so that a sound stream was cut. Blank lines before an event no longer make it look whole in Pending.

--- a/internal/peer/chiverunner/arrival_test.go
+++ b/internal/peer/chiverunner/arrival_test.go
@@ -33,8 +33,8 @@
 	return copy(b, p.text), nil
 }
 
-// TestStalledEvents checks that events are given up only if their bytes keep arriving for more
-// than eventTime, and that neither silence nor whole events end a stream. Its twin, a bound on
+// TestStalledEvents checks that events are given up only if fewer than minEventBytes of them arrive
+// in eventTime, without its longest silence, and that neither silence nor whole events end a stream. Its twin, a bound on
 // the time between two events, ends sound streams.
 func TestStalledEvents(t *testing.T) {
 	trickle := func(text string, pause time.Duration) (parts []arrival) {
@@ -44,6 +44,14 @@
 		return parts
 	}
 	event := "id: 1\ndata: a\n\n"
+	// packets is an event of 20 packets, one after each pause.
+	packets := func(pause time.Duration) (parts []arrival) {
+		parts = append(parts, arrival{0, "id: 1\ndata: "})
+		for range 20 {
+			parts = append(parts, arrival{pause, strings.Repeat("x", 1400)})
+		}
+		return append(parts, arrival{pause, "\n\n"})
+	}
 	tests := []struct {
 		give  string
 		parts []arrival
@@ -57,6 +65,9 @@
 		{"parts of two events at a time", []arrival{{0, event + "id: 2"}, {30 * time.Second, "\ndata: b\n\nid: 3"}, {30 * time.Second, "\ndata: c\n\n"}}, 3, false},
 		{"a byte a second", append([]arrival{{0, event}}, trickle(event, time.Second)...), 1, true},
 		{"a byte every ten seconds", trickle(event, 10*time.Second), 0, true},
+		{"a long event over a squeezed link", packets(800 * time.Millisecond), 1, false},
+		{"a long event over a link that loses most", packets(3 * time.Second), 1, false},
+		{"a long event that turns into a trickle", append(packets(time.Second)[:15], trickle(strings.Repeat("x", 20), time.Second)...), 0, true},
 		{"blank lines", append([]arrival{{0, event}}, trickle(strings.Repeat("\n", 20), time.Second)...), 1, true},
 		{"a byte every 100 ms", trickle(strings.Repeat(event, 20), 100*time.Millisecond), 20, false},
 	}
@@ -96,6 +107,9 @@
 		{"data: a\n\n", false},
 		{"data: a\n\ndata: b\n", false},
 		{"data: a\n\ndata: b\n\n", true},
+		{"data: a\n\n\n\n", false},
+		{"data: a\n\n\n\n\ndata: b\n", false},
+		{"data: a\n\n\r\n\r\ndata: b\n\n", true},
 		{"data: a\r\n\r\ndata: b\r\n\r\nda", true},
 	} {
 		r := NewEventReader(strings.NewReader(tt.give))
--- a/internal/peer/chiverunner/event.go
+++ b/internal/peer/chiverunner/event.go
@@ -46,8 +46,8 @@
 
 // Next returns the next event. Its Raw is valid until the following call. Next returns
 // io.EOF if the stream ends between events, ErrTruncatedEvent if it ends within one,
-// ErrUnbounded if the event is too long, ErrStalled if it is not whole after eventTime, and
-// another error if an id is not an integer.
+// ErrUnbounded if the event is too long, ErrStalled if fewer than minEventBytes of it arrive in
+// eventTime, and another error if an id is not an integer.
 func (e *EventReader) Next() (Event, error) {
 	e.raw = e.raw[:0]
 	e.arrivals.begin(e.reader.Buffered() > 0)
@@ -87,6 +87,8 @@
 func (e *EventReader) Pending() bool {
 	// It does not fail for bytes that are buffered.
 	b, _ := e.reader.Peek(e.reader.Buffered())
+	// Blank lines before an event do not end it.
+	b = bytes.TrimLeft(b, "\r\n")
 	return bytes.Contains(b, []byte("\n\n")) || bytes.Contains(b, []byte("\n\r\n"))
 }
 
