--- a/internal/run/chiveentry/daemon.go
+++ b/internal/run/chiveentry/daemon.go
@@ -236,7 +236,8 @@
 	logging, endLogging := context.WithCancel(context.Background())
 	defer endLogging()
 	callers := &http.Server{
-		Handler: d.relay, ConnContext: chiverelay.WithConn, ConnState: d.callerConns.note, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: d.relay, ConnContext: chiverelay.WithConn, ConnState: d.callerConns.note,
+		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: d.log.WithPrefix("http").StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 	}
 	var group run.Group
--- a/internal/run/chiverelay/memory.go
+++ b/internal/run/chiverelay/memory.go
@@ -213,6 +213,23 @@
 	if m.Budget.Excess(m.held.Load(), m.slowHeld.Load()) == 0 {
 		return true
 	}
+	cut, ok := m.cutSlow()
+	for _, c := range cut {
+		c.holding.log.Warn("Caller reads too slowly and was cut, the memory for callers is spent.", "request", c.holding.id,
+			"held", c.Held, "idle", formatMillis(c.Idle), "budget", m.Budget.Total)
+	}
+	return ok
+}
+
+// cutRecord describes a caller when it was cut.
+type cutRecord struct {
+	chivebudget.SlowCaller
+	holding *holding
+}
+
+// cutSlow cuts slow callers as makeRoom does. It returns those that it has cut, and whether there
+// is room then.
+func (m *Memory) cutSlow() (cut []cutRecord, ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var cutHeld, cutHeldUp int64
@@ -235,11 +252,10 @@
 	for _, i := range chivebudget.Cut(callers, excess) {
 		excess -= callers[i].Held
 		m.cuts.Add(1)
-		list[i].log.Warn("Caller reads too slowly and was cut, the memory for callers is spent.", "request", list[i].id,
-			"held", callers[i].Held, "idle", formatMillis(callers[i].Idle), "budget", m.Budget.Total)
 		list[i].cutCaller()
+		cut = append(cut, cutRecord{callers[i], list[i]})
 	}
-	return excess <= 0
+	return cut, excess <= 0
 }
 
 // cutCaller ends the work on the request and resets the connection of the caller, so that what
--- a/internal/run/chiverelay/relay.go
+++ b/internal/run/chiverelay/relay.go
@@ -145,8 +145,8 @@
 	noMemory bool
 	// mayHaveRun reports whether a runner may have started the request.
 	mayHaveRun bool
-	// responseStarted reports whether the caller has part of the response;
-	// lastEvent is the ID of the last event that it has, or -1.
+	// responseStarted reports whether the caller has part of the response; lastEvent is the
+	// ID of the last event that it has or that is buffered for it, or -1.
 	responseStarted bool
 	lastEvent       int64
 	// lastEventTime is when the last event arrived.
