--- a/internal/run/chiverelay/relay.go
+++ b/internal/run/chiverelay/relay.go
@@ -160,10 +160,12 @@
 	brokeOff bool
 	// unbounded counts the attempts whose answer exceeded a bound on its size.
 	unbounded int
+	// noMemory reports whether an answer was given up for want of memory here.
+	noMemory bool
 	// mayHaveRun reports whether a runner may have started the request.
 	mayHaveRun bool
-	// responseStarted reports whether the caller has part of the response;
-	// lastEvent is the ID of the last event that it has, or -1.
+	// responseStarted reports whether the caller has part of the response; lastEvent is the
+	// ID of the last event that it has or that is buffered for it, or -1.
 	responseStarted bool
 	lastEvent       int64
 	// lastEventTime is when the last event arrived.
@@ -233,6 +235,7 @@
 	}
 	ctx, cancel := context.WithTimeout(x.r.Context(), chiveclock.Until(x.deadline))
 	defer cancel()
+	x.holding.cancel = cancel
 	var runner *chivefleet.Runner
 	for {
 		if runner == nil {
@@ -254,12 +257,17 @@
 			"ran", x.mayHaveRun, "again", retry, "moved", next != nil, "left", formatMillis(chiveclock.Until(x.deadline)), "event", x.lastEvent, "parts", x.request.Parts, "fingerprint", x.fingerprint)
 		if next != nil && (!retry || !x.recheckKey()) {
 			x.relay.State.Release(next.ID)
-			retry = false
+			retry, next = false, nil
 		}
 		if !retry {
 			x.respondUnserved(ctx)
 			return
 		}
+		if next != nil && !x.isOpen(next) {
+			// It has left since it was reserved.
+			x.relay.State.Release(next.ID)
+			next, x.retryTaken = nil, true
+		}
 		runner = next
 	}
 }
@@ -347,10 +355,11 @@
 	return true
 }
 
-// mayRetry reports whether the request may be sent again. If it was sent before,
+// mayRetry reports whether the request may be sent again: not at once if there was no memory for
+// its answer. If it was sent before,
 // the retry is charged to the retry budget of the service.
 func (x *exchange) mayRetry() bool {
-	if x.mayHaveRun && !x.route.Repeatable() {
+	if x.noMemory || x.mayHaveRun && !x.route.Repeatable() {
 		return false
 	}
 	if x.responseStarted && !x.route.Resumable {
@@ -370,6 +379,9 @@
 // an error, or aborts the connection if the caller is gone or has part of a stream.
 func (x *exchange) respondUnserved(ctx context.Context) {
 	switch {
+	case x.holding.cut.Load():
+		x.cause = errCut.Error()
+		panic(http.ErrAbortHandler)
 	case x.r.Context().Err() != nil:
 		x.cause = "caller left"
 		panic(http.ErrAbortHandler)
--- a/internal/run/chiverelay/stream_buffer.go
+++ b/internal/run/chiverelay/stream_buffer.go
@@ -18,6 +18,12 @@
 	// read returns the next event that the caller lacks. Only one goroutine calls it at a
 	// time.
 	read func() ([]byte, error)
+	// onWaited is called, by the goroutine that reads, when reading has waited for the caller.
+	// It may be nil.
+	onWaited func()
+	// onError is called when read has failed while events may wait for the caller. It may be
+	// nil.
+	onError func()
 	// limit is the number of bytes up to which events are read ahead.
 	limit int64
 
@@ -52,29 +58,38 @@
 	b.events.Detach()
 	go func() {
 		defer close(b.done)
-		for b.awaitRoom() {
+		// The write to the caller has blocked since the last event.
+		waited := true
+		for more := true; more; waited, more = b.awaitRoom() {
+			if waited && b.onWaited != nil {
+				b.onWaited()
+			}
 			event, err := b.read()
+			if err != nil && b.onError != nil {
+				b.onError()
+			}
 			b.push(event, err)
 		}
 	}()
 }
 
-// awaitRoom waits until events may be read ahead. It returns false if none are needed.
-func (b *streamBuffer) awaitRoom() bool {
+// awaitRoom waits until events may be read ahead. It reports whether it had to wait, and whether
+// more events are needed.
+func (b *streamBuffer) awaitRoom() (waited, more bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for b.size >= b.limit && !b.closed {
+		waited = true
 		b.changed.Wait()
 	}
-	return !b.closed && b.err == nil
+	return waited, !b.closed && b.err == nil
 }
 
 // push adds an event, or the error that ends the stream.
 func (b *streamBuffer) push(event []byte, err error) {
-	grown := b.store(event, err)
-	if grown > 0 {
+	if b.store(event, err) > 0 {
 		// If it makes no room the caller was cut itself.
-		b.holding.take(grown)
+		b.holding.memory.makeRoom()
 	}
 	b.changed.Broadcast()
 }
@@ -89,7 +104,7 @@
 	}
 	if len(b.blocks) == 0 && b.writing == 0 {
 		// Until now the caller had nothing to read.
-		b.holding.noteRead()
+		b.holding.setSlow(true)
 	}
 	for len(event) > 0 {
 		last := len(b.blocks) - 1
@@ -103,6 +118,7 @@
 		event = event[n:]
 	}
 	b.size += grown
+	b.holding.addAnswer(grown)
 	return grown
 }
 
@@ -116,6 +132,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.freeWritten()
+	if len(b.blocks) == 0 {
+		// The caller holds nothing up until the runner has sent more.
+		b.holding.setSlow(false)
+	}
 	for len(b.blocks) == 0 && b.err == nil {
 		b.changed.Wait()
 	}
@@ -132,7 +152,7 @@
 // freeWritten gives back the block that was written. The caller must hold mu.
 func (b *streamBuffer) freeWritten() {
 	b.size -= b.writing
-	b.holding.add(-b.writing)
+	b.holding.addAnswer(-b.writing)
 	b.writing = 0
 	b.changed.Broadcast()
 }
@@ -150,6 +170,6 @@
 	<-b.done
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.holding.add(-b.size)
+	b.holding.addAnswer(-b.size)
 	b.blocks, b.size, b.writing = nil, 0, 0
 }
