--- a/internal/run/chiverelay/crash_guard_test.go
+++ b/internal/run/chiverelay/crash_guard_test.go
@@ -176,7 +176,8 @@
 func TestBrokenRequestIsSentAgain(t *testing.T) {
 	s := newTestCluster(t, 75, 0)
 	s.runners[0].onlyFault = faultNoResponse
-	for i := range 12 {
+	// Each request reaches the runner with a probability of a third.
+	for i := range 60 {
 		if g := s.send(t.Context(), t, "/any/x", fmt.Sprint("again-", i), "body"); g.status != http.StatusOK {
 			t.Errorf("request %d: status %d, want %d", i, g.status, http.StatusOK)
 		}
--- a/internal/run/chiverelay/work_book.go
+++ b/internal/run/chiverelay/work_book.go
@@ -111,7 +111,8 @@
 
 // estimateWork sets the expected work of the request if its service is balanced by work.
 func (x *exchange) estimateWork() {
-	if x.service.Scale == nil {
+	// The length of an answer is known by its events alone.
+	if x.service.Scale == nil || x.route.Kind != chivefleet.Streaming {
 		return
 	}
 	x.estimate = x.relay.Work.estimate(x.service, x.origin(), x.request.Stated)
--- a/internal/run/chiverelay/work_book_test.go
+++ b/internal/run/chiverelay/work_book_test.go
@@ -36,6 +36,23 @@
 	}
 }
 
+// waitInFlight waits until a number of requests are in flight.
+func waitInFlight(t *testing.T, s *testCluster, want int) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+		n := 0
+		for _, k := range s.relay.State.LocalLoad() {
+			n += k
+		}
+		if n == want {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("%d requests are in flight, want %d", n, want)
+		}
+	}
+}
+
 func sumWork(work map[string]float64) (sum float64) {
 	for _, w := range work {
 		sum += w
@@ -57,7 +74,7 @@
 			id := fmt.Sprint("stream-", i)
 			callers.Go(func() { checkResult(t, s, "stream", id, s.send(t.Context(), t, "/stream/x", id, "")) })
 		}
-		time.Sleep(20 * time.Millisecond)
+		waitInFlight(t, s, 6)
 		first := sumWork(s.relay.State.LocalWork())
 		time.Sleep(200 * time.Millisecond)
 		second := sumWork(s.relay.State.LocalWork())
