Test the count of what slow callers hold up step by step

In TestSlowTwice a caller has read all between its two attempts, so that a second registration, the cause of the leak, no longer showed there.

--- a/internal/run/chiverelay/slow_resume_test.go
+++ b/internal/run/chiverelay/slow_resume_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"github.com/chiveyoke/chiveyoke/internal/policy/chivebudget"
 	"github.com/chiveyoke/chiveyoke/internal/state/chivefleet"
 )
 
@@ -298,3 +299,37 @@
 		t.Errorf("the limit of the runner has sunk to %v of %d", limit, slots)
 	}
 }
+
+// TestSlowHeld checks that what a caller holds up is counted once however often it is registered,
+// without its request, and only while it is slow.
+func TestSlowHeld(t *testing.T) {
+	const body, answer = 1 << 10, 8 << 10
+	m := Memory{Budget: chivebudget.ForMemory(136e6)}
+	h := &holding{memory: &m}
+	if !h.admit(body) || !h.addBody(body) {
+		t.Fatal("the request is refused")
+	}
+	h.take(answer)
+	tests := []struct {
+		give string
+		do   func()
+		want MemoryCounts
+	}{
+		{"not slow", func() {}, MemoryCounts{Held: requestSize + body + answer}},
+		{"slow", h.noteSlow, MemoryCounts{Held: requestSize + body + answer, Slow: 1, SlowHeld: answer}},
+		{"slow again", h.noteSlow, MemoryCounts{Held: requestSize + body + answer, Slow: 1, SlowHeld: answer}},
+		{"more waits", func() { h.take(answer) }, MemoryCounts{Held: requestSize + body + 2*answer, Slow: 1, SlowHeld: 2 * answer}},
+		{"has read some", func() { h.addAnswer(-answer) }, MemoryCounts{Held: requestSize + body + answer, Slow: 1, SlowHeld: answer}},
+		{"has read all", func() { h.setSlow(false) }, MemoryCounts{Held: requestSize + body + answer}},
+		{"has read all again", func() { h.setSlow(false) }, MemoryCounts{Held: requestSize + body + answer}},
+		{"slow once more", h.noteSlow, MemoryCounts{Held: requestSize + body + answer, Slow: 1, SlowHeld: answer}},
+		{"end", h.release, MemoryCounts{}},
+		{"end again", h.release, MemoryCounts{}},
+	}
+	for _, tt := range tests {
+		tt.do()
+		if got := m.Counts(); got != tt.want {
+			t.Errorf("%s: %+v, want %+v", tt.give, got, tt.want)
+		}
+	}
+}
