--- a/internal/run/chiverelay/crash_guard_test.go
+++ b/internal/run/chiverelay/crash_guard_test.go
@@ -181,7 +181,7 @@
 			t.Errorf("request %d: status %d, want %d", i, g.status, http.StatusOK)
 		}
 	}
-	if len(s.runners[0].arrivals) == 0 {
+	if s.runners[0].arrivalCount() == 0 {
 		t.Error("no request reached the runner that breaks them off, so that the test shows nothing")
 	}
 }
