--- a/internal/run/chiverelay/slow_caller_test.go
+++ b/internal/run/chiverelay/slow_caller_test.go
@@ -6,11 +6,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"runtime"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -430,10 +432,8 @@
 		s.registerParts(first, second)
 		c := s.callSlowly(t, "/stream/x", "cut", 10*time.Second)
 		waitFor(func() bool { return s.relay.Memory.Counts().Slow == 1 })
-		var h *holding
 		s.relay.Memory.mu.Lock()
-		for h = range s.relay.Memory.slow {
-		}
+		h := slices.Collect(maps.Keys(s.relay.Memory.slow))[0]
 		s.relay.Memory.mu.Unlock()
 		resp, err := http.ReadResponse(bufio.NewReader(c.conn), nil)
 		if err != nil {
