--- a/internal/run/chiverelay/work_book_test.go
+++ b/internal/run/chiverelay/work_book_test.go
@@ -163,7 +163,7 @@
 		{"more than any answer has", math.MaxInt64 - 1, 0.2, 5},
 	}
 	for _, tt := range tests {
-		x := &exchange{relay: &Relay{}, route: &chivefleet.Route{Name: "r"}, service: &chivefleet.Service{Name: "s", Scale: &testScale}, lastEvent: tt.lastEvent, request: Request{LastEvent: tt.lastEvent}}
+		x := &exchange{relay: &Relay{}, route: &chivefleet.Route{Name: "r", Kind: chivefleet.Streaming}, service: &chivefleet.Service{Name: "s", Scale: &testScale}, lastEvent: tt.lastEvent, request: Request{LastEvent: tt.lastEvent}}
 		x.estimateWork()
 		if !(x.work >= tt.low && x.work <= tt.high) {
 			t.Errorf("%s: work %v, want %v to %v", tt.give, x.work, tt.low, tt.high)
