--- a/internal/policy/chiveadmit/gate.go
+++ b/internal/policy/chiveadmit/gate.go
@@ -22,7 +22,7 @@
 	overbookingDecay = 0.97
 	// maxOverbooking bounds the overbooking, in even parts of the limit.
 	maxOverbooking = 0.2
-	// minFresh is the part of it that old reports allow.
+	// minFresh is the part of maxOverbooking that remains however old the reports are.
 	minFresh = 0.5
 	// reserveFraction is the part of a budget that plans leave free: what arrives at random
 	// would else often find no room, whatever its urgency.
@@ -66,8 +66,8 @@
 	refused     bool
 	// threshold rounds the parts of a place, in (0, 1].
 	threshold float64
-	// most is what this entry VM may hold whatever is reported.
-	most float64
+	// maxHeld is the work that this entry VM may hold whatever others report.
+	maxHeld float64
 	// pressed reports whether requests compete for the room that is left. lastAll is the work of
 	// all at the last update, at updatedAt.
 	pressed   bool
@@ -111,7 +111,7 @@
 	g.adjustOverbooking(limit, all, fresh)
 	// What was held is a good base while it is recent. A fixed part of the limit needs no report.
 	base := fresh*(then+g.share*room) + (1-fresh)*g.share*limit
-	g.most = max(1, maxBudgetFraction*even)
+	g.maxHeld = max(1, maxBudgetFraction*even)
 	g.budget = min(max(base+g.overbooking*even, minBudgetFraction*even), maxBudgetFraction*even)
 	if entries == 1 {
 		g.budget = limit - others
@@ -188,7 +188,7 @@
 func (g *Gate) Admit(now time.Duration, d Demand) Admission {
 	class, work := classOf(d), usualWork(d.Work)
 	g.ranking.add(now, class, work)
-	if g.room.Limit == 0 || d.Resumed || !g.pressed && g.held+work <= g.most {
+	if g.room.Limit == 0 || d.Resumed || !g.pressed && g.held+work <= g.maxHeld {
 		return g.admit(now, work)
 	}
 	free := g.budget - g.held - g.threshold
