Wait until no more connections are accepted before a stop looks for requests

Likewise a request that crossed the close of its idle connection was passed on though no answer could be returned.

Change: the stop waits for the end of Serve; such a request is aborted before it is sent.

--- a/internal/run/chiveentry/daemon.go
+++ b/internal/run/chiveentry/daemon.go
@@ -161,6 +161,8 @@
 	// callerListener accepts the connections of callers, callerConns knows them.
 	callerListener net.Listener
 	callerConns    callerConns
+	// callersServed is closed once no more connections of callers are accepted.
+	callersServed chan struct{}
 	// leaving reports whether the process was told to stop.
 	leaving atomic.Bool
 	// registrationLost receives a value when the store has lost the row of this entry VM.
@@ -175,7 +177,7 @@
 // New returns a new Daemon. It sets settings.Entry.Boot to a random incarnation.
 func New(settings Settings, deps Dependencies) *Daemon {
 	settings.Entry.Boot = rand.Uint64() | 1
-	d := &Daemon{settings: settings, deps: deps, meter: chivemeter.New(), registrationLost: make(chan struct{}, 1), logWriter: chivelog.NewWriter(deps.LogOutput)}
+	d := &Daemon{settings: settings, deps: deps, meter: chivemeter.New(), registrationLost: make(chan struct{}, 1), callersServed: make(chan struct{}), logWriter: chivelog.NewWriter(deps.LogOutput)}
 	d.log = log.NewWithOptions(d.logWriter, log.Options{
 		Prefix: "entry", Formatter: log.JSONFormatter, ReportTimestamp: true,
 		TimeFormat: "2006-01-02T15:04:05.000Z07:00",
@@ -241,7 +243,8 @@
 	logging, endLogging := context.WithCancel(context.Background())
 	defer endLogging()
 	callers := &http.Server{
-		Handler: d.relay, ConnContext: chiverelay.WithConn, ConnState: d.callerConns.note,
+		Handler: d.callerConns.handler(d.relay), ConnState: d.callerConns.note,
+		ConnContext:       func(ctx context.Context, c net.Conn) context.Context { return withConn(chiverelay.WithConn(ctx, c), c) },
 		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: d.log.WithPrefix("http").StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 	}
@@ -346,8 +349,7 @@
 	deadline := start.Add(d.settings.GracePeriod - shutdownMargin)
 	grace, cancel := context.WithTimeout(context.Background(), chiveclock.Until(deadline))
 	defer cancel()
-	_ = d.callerListener.Close()
-	if err := d.callerConns.drain(grace); err != nil {
+	if err := d.callerConns.stop(grace, d.callerListener, d.callersServed); err != nil {
 		d.log.Warn("Requests were aborted.", "error", err)
 	}
 	_ = callers.Close()
--- a/internal/run/chiveentry/drain.go
+++ b/internal/run/chiveentry/drain.go
@@ -29,6 +29,34 @@
 type connState struct {
 	state http.ConnState
 	since time.Time
+	// closed is set once closeUnused has closed the connection.
+	closed bool
+}
+
+// connContextKey is the key of the connection in the contexts of its requests.
+type connContextKey struct{}
+
+// withConn returns a context from which handler knows the connection.
+func withConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connContextKey{}, conn)
+}
+
+// handler returns a handler that passes requests on to next, but aborts one whose connection
+// was closed as idle while it arrived: next would have it run, and no answer could be returned.
+func (c *callerConns) handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if conn, ok := r.Context().Value(connContextKey{}).(net.Conn); ok && c.isClosed(conn) {
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// isClosed reports whether closeUnused has closed the connection.
+func (c *callerConns) isClosed(conn net.Conn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.states[conn].closed
 }
 
 // note records the state of a connection. It has the type of http.Server.ConnState.
@@ -42,7 +70,7 @@
 		delete(c.states, conn)
 		return
 	}
-	c.states[conn] = connState{state: s, since: time.Now()}
+	c.states[conn] = connState{state: s, since: time.Now(), closed: c.states[conn].closed}
 }
 
 // closeUnused closes the connections that carry no request: idle ones, and new ones after
@@ -53,13 +81,30 @@
 	for conn, s := range c.states {
 		if s.state == http.StateIdle || s.state == http.StateNew && time.Since(s.since) > unreadConnTime {
 			_ = conn.Close()
+			s.closed = true
+			c.states[conn] = s
 			continue
 		}
-		used++
+		if !s.closed {
+			used++
+		}
 	}
 	return used
 }
 
+// stop closes the listener and waits until all requests of accepted connections have been
+// answered, or returns the error of the context. served is closed once the server accepts no
+// more: a connection that is accepted as the listener closes is known only then.
+func (c *callerConns) stop(ctx context.Context, l net.Listener, served <-chan struct{}) error {
+	_ = l.Close()
+	select {
+	case <-served:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	return c.drain(ctx)
+}
+
 // drain waits until all requests have been answered, or returns the error of the context. The
 // listener must have been closed.
 func (c *callerConns) drain(ctx context.Context) error {
--- a/internal/run/chiveentry/servers.go
+++ b/internal/run/chiveentry/servers.go
@@ -37,6 +37,9 @@
 		}
 		group.Add(func() error {
 			err := s.server.Serve(l)
+			if s.server == callers {
+				close(d.callersServed)
+			}
 			// waitAndDrain closes the listener for callers before the server.
 			if stopped := d.leaving.Load() && errors.Is(err, net.ErrClosed); !stopped && !errors.Is(err, http.ErrServerClosed) {
 				return Error.Wrap(err)
