Find the caller's connection in one way

The stop of an entry VM kept the connection in the context of a request beside the relay, which had it there already (WithConn). Both read it with ConnOf now; behaviour is unchanged.

--- a/internal/run/chiveentry/daemon.go
+++ b/internal/run/chiveentry/daemon.go
@@ -244,7 +244,7 @@
 	defer endLogging()
 	callers := &http.Server{
 		Handler: d.callerConns.handler(d.relay), ConnState: d.callerConns.note,
-		ConnContext:       func(ctx context.Context, c net.Conn) context.Context { return withConn(chiverelay.WithConn(ctx, c), c) },
+		ConnContext:       chiverelay.WithConn,
 		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: d.log.WithPrefix("http").StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 	}
--- a/internal/run/chiveentry/drain.go
+++ b/internal/run/chiveentry/drain.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/chiveyoke/chiveyoke/internal/run/chiverelay"
 )
 
 const (
@@ -33,19 +35,11 @@
 	closed bool
 }
 
-// connContextKey is the key of the connection in the contexts of its requests.
-type connContextKey struct{}
-
-// withConn returns a context from which handler knows the connection.
-func withConn(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, connContextKey{}, conn)
-}
-
 // handler returns a handler that passes requests on to next, but aborts one whose connection
 // was closed as idle while it arrived: next would have it run, and no answer could be returned.
 func (c *callerConns) handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if conn, ok := r.Context().Value(connContextKey{}).(net.Conn); ok && c.isClosed(conn) {
+		if conn := chiverelay.ConnOf(r.Context()); conn != nil && c.isClosed(conn) {
 			panic(http.ErrAbortHandler)
 		}
 		next.ServeHTTP(w, r)
--- a/internal/run/chiveentry/drain_test.go
+++ b/internal/run/chiveentry/drain_test.go
@@ -10,6 +10,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/chiveyoke/chiveyoke/internal/run/chiverelay"
 )
 
 // lateListener accepts one connection as it is closed.
@@ -100,7 +102,7 @@
 		h := conns.handler(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { passed = true }))
 		func() {
 			defer func() { _ = recover() }()
-			h.ServeHTTP(httptest.NewRecorder(), httptest.NewRequestWithContext(withConn(t.Context(), conn), http.MethodGet, "/", nil))
+			h.ServeHTTP(httptest.NewRecorder(), httptest.NewRequestWithContext(chiverelay.WithConn(t.Context(), conn), http.MethodGet, "/", nil))
 		}()
 		if passed != tt.want {
 			t.Errorf("%s: passed on %t, want %t", tt.give, passed, tt.want)
--- a/internal/run/chiverelay/memory.go
+++ b/internal/run/chiverelay/memory.go
@@ -95,7 +95,7 @@
 func (x *exchange) newHolding() *holding {
 	h := &holding{memory: &x.relay.Memory, log: x.relay.Log}
 	// It is missing where the relay is not served with WithConn.
-	h.conn, _ = x.r.Context().Value(connKey{}).(net.Conn)
+	h.conn = ConnOf(x.r.Context())
 	h.interrupt = func() {
 		// Only the writers of tests do not support deadlines.
 		_ = http.NewResponseController(x.w).SetWriteDeadline(time.Unix(1, 0))
@@ -278,3 +278,9 @@
 func WithConn(ctx context.Context, c net.Conn) context.Context {
 	return context.WithValue(ctx, connKey{}, c)
 }
+
+// ConnOf returns the caller's connection that WithConn has added to a context, or nil.
+func ConnOf(ctx context.Context) net.Conn {
+	c, _ := ctx.Value(connKey{}).(net.Conn)
+	return c
+}
