--- a/review/standin/restore/main.go
+++ b/review/standin/restore/main.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"os/signal"
 	"sync"
 	"syscall"
 	"time"
@@ -42,7 +43,7 @@
 }
 
 func main() {
-	code, err := run(os.Args[1], os.Args[2], os.Getenv("TROUBLE") != "0")
+	code, err := run(os.Args[1], os.Args[2], os.Getenv("TROUBLE"))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		code = 2
@@ -60,7 +61,10 @@
 	return nil, err
 }
 
-func run(program, recordPath string, trouble bool) (int, error) {
+// run plays the case. trouble is "0" for no disruption and "kill" for the restart of a process
+// without the return of the store from a copy.
+func run(program, recordPath, trouble string) (int, error) {
+	kills, returns := trouble != "0", trouble != "0" && trouble != "kill"
 	out, err := os.Create(recordPath)
 	if err != nil {
 		return 2, err
@@ -77,6 +81,13 @@
 		return 2, err
 	}
 	defer func() { _ = site.Close() }()
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stopped
+		_ = site.Close()
+		os.Exit(2)
+	}()
 	if err := site.Configure("kept", "revoked"); err != nil {
 		return 2, err
 	}
@@ -114,20 +125,24 @@
 	rec.printf("the store acknowledges the configuration without the key \"revoked\"")
 	time.Sleep(time.Until(copiedAt.Add(copyAge - awayTime)))
 	restarted := site.EntryVMs[1]
-	if trouble {
+	if returns {
 		rec.printf("the store is away")
 		site.Store.SetFault(chiveplatform.StoreBusy)
 	}
-	rec.printf("SIGKILL of %s", restarted.Name)
-	restarted.Signal(syscall.SIGKILL)
-	restarted.WaitExit(5 * time.Second)
+	if kills {
+		rec.printf("SIGKILL of %s", restarted.Name)
+		restarted.Signal(syscall.SIGKILL)
+		restarted.WaitExit(5 * time.Second)
+	}
 	time.Sleep(awayTime - 300*time.Millisecond)
-	rec.printf("%s is started", restarted.Name)
-	if err := restarted.Start(); err != nil {
-		return 2, err
+	if kills {
+		rec.printf("%s is started", restarted.Name)
+		if err := restarted.Start(); err != nil {
+			return 2, err
+		}
 	}
 	time.Sleep(300 * time.Millisecond)
-	if trouble {
+	if returns {
 		site.Store.ReturnFrom(older, func(string) bool { return true })
 		site.Store.SetFault(chiveplatform.StoreHealthy)
 		rec.printf("the store returns from a copy that is %.1f s old", time.Since(copiedAt).Seconds())
