Log which VM is the hub, how long a failed call took and by how many limits are divided

Change: lines when the source of the tables or the number of entry VMs changes, the time of a failed call, and metrics for these and for the use of retry budgets. No decision changes.

--- a/internal/policy/chivequota/retrybudget.go
+++ b/internal/policy/chivequota/retrybudget.go
@@ -29,11 +29,21 @@
 // AllowRetry reports whether a retry may be sent, and counts it if so. entries is
 // the number of entry VMs that share the budget.
 func (b *RetryBudget) AllowRetry(now time.Duration, entries int) bool {
-	b.requests.Span, b.retries.Span = b.Span, b.Span
-	limit := safetyFactor * (b.Ratio*b.requests.Sum(now) + b.Slack/float64(max(1, entries)))
-	if b.retries.Sum(now)+1 > limit {
+	if b.Spent(now)+1 > b.Limit(now, entries) {
 		return false
 	}
 	b.retries.Add(now, 1)
 	return true
 }
+
+// Spent returns the number of retries in the window.
+func (b *RetryBudget) Spent(now time.Duration) float64 {
+	b.retries.Span = b.Span
+	return b.retries.Sum(now)
+}
+
+// Limit returns the number of retries that are allowed in the window.
+func (b *RetryBudget) Limit(now time.Duration, entries int) float64 {
+	b.requests.Span = b.Span
+	return safetyFactor * (b.Ratio*b.requests.Sum(now) + b.Slack/float64(max(1, entries)))
+}
--- a/internal/run/chiveentry/daemon.go
+++ b/internal/run/chiveentry/daemon.go
@@ -170,6 +170,8 @@
 	// peersKnownAt is the moment at which the registered entry VMs were first read
 	// from the store, 0 before.
 	peersKnownAt atomic.Int64
+	// entriesSharing is the number of registered entry VMs, which share the limits.
+	entriesSharing atomic.Int64
 	// vacancy belongs to the goroutine that competes for the map duty.
 	vacancy vacancy
 }
@@ -282,6 +284,9 @@
 		return
 	}
 	d.peersKnownAt.CompareAndSwap(0, int64(chiveclock.Now()))
+	if n := int64(len(entries)); d.entriesSharing.Swap(n) != n {
+		d.log.Info("Limits are shared.", "entries", n)
+	}
 	d.relay.State.SetEntries(slices.Sorted(maps.Keys(entries)))
 }
 
--- a/internal/run/chiveentry/metrics.go
+++ b/internal/run/chiveentry/metrics.go
@@ -110,6 +110,13 @@
 		tagged.Gauge("admission_held").Update(room.Held)
 		tagged.Gauge("admission_age_seconds").Update(room.Age.Seconds())
 	}
+	for name, use := range d.relay.State.RetryUses() {
+		tagged := s.Tagged(map[string]string{"service": name})
+		tagged.Gauge("retries_spent").Update(use.Spent)
+		tagged.Gauge("retries_allowed").Update(use.Allowed)
+	}
+	s.Gauge("entries_sharing").Update(float64(d.entriesSharing.Load()))
+	s.Gauge("reads_hub").Update(boolGauge(d.source.ReadsHub()))
 	s.Gauge("zones_evacuated").Update(float64(len(f.EvacuatedZones)))
 	s.Gauge("map_duty").Update(boolGauge(d.balancer.HoldsDuty()))
 	s.Gauge("leaving").Update(boolGauge(d.leaving.Load()))
--- a/internal/run/chivehub/source.go
+++ b/internal/run/chivehub/source.go
@@ -81,6 +81,8 @@
 	// failedHub is the last hub that failed. It is not used before failedHubUntil.
 	failedHub      string
 	failedHubUntil chiveclock.Moment
+	// lastHub is the name of the hub that was used last, "" if the store was.
+	lastHub string
 	// reportArrived is closed at the next report, or nil if no call waits for it.
 	reportArrived chan struct{}
 	// waits ends the waits of the calls to the store that are in progress; nil before
@@ -168,11 +170,36 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if h != nil && h.Name == s.failedHub && s.Clock.Now() < s.failedHubUntil {
-		return nil
+		h = nil
 	}
+	s.logHub(h)
 	return h
 }
 
+// logHub logs a change of the hub. The caller must hold s.mu.
+func (s *Source) logHub(h *Hub) {
+	name := ""
+	if h != nil {
+		name = h.Name
+	}
+	if name == s.lastHub {
+		return
+	}
+	s.lastHub = name
+	if h == nil {
+		s.Log.Info("Tables are read from the store.")
+		return
+	}
+	s.Log.Info("Tables are read from a hub.", "hub", name, "revisions", h.Revisions)
+}
+
+// ReadsHub reports whether the tables are read from a hub.
+func (s *Source) ReadsHub() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lastHub != ""
+}
+
 // Read implements chivefollow.Source.Read.
 func (s *Source) Read(ctx context.Context, name string) (chivefollow.Page, error) {
 	t := s.table(name)
--- a/internal/run/chiverelay/runner_state.go
+++ b/internal/run/chiverelay/runner_state.go
@@ -200,6 +200,24 @@
 	return len(rs.entries) > 0 && rs.retryBudget(service).AllowRetry(time.Duration(chiveclock.Now()), len(rs.entries))
 }
 
+// RetryUse is the use of a retry budget in its window.
+type RetryUse struct {
+	// Spent is the number of retries, Allowed their limit.
+	Spent, Allowed float64
+}
+
+// RetryUses returns the use of the retry budgets, by service.
+func (rs *RunnerState) RetryUses() map[string]RetryUse {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	now := time.Duration(chiveclock.Now())
+	uses := make(map[string]RetryUse, len(rs.retryBudgets))
+	for service, b := range rs.retryBudgets {
+		uses[service] = RetryUse{Spent: b.Spent(now), Allowed: b.Limit(now, len(rs.entries))}
+	}
+	return uses
+}
+
 // retryBudget returns the retry budget of a service, created on first use. The
 // caller must hold mu.
 func (rs *RunnerState) retryBudget(service string) *chivequota.RetryBudget {
--- a/internal/state/chivefollow/follower.go
+++ b/internal/state/chivefollow/follower.go
@@ -118,6 +118,8 @@
 	failing bool
 	// backoff is the pause after the last failure.
 	backoff time.Duration
+	// took is how long the last call took.
+	took time.Duration
 }
 
 // Run follows the table until the context ends. It returns nil.
@@ -135,7 +137,9 @@
 // store no longer has the changes, or has returned from an older copy, the next step
 // reads the whole table.
 func (f *Follower) step(ctx context.Context) error {
+	began := chiveclock.Now()
 	page, err := f.call(ctx)
+	f.took = chiveclock.Since(began)
 	if errors.Is(err, ErrCompacted) {
 		f.Log.Warn("Store no longer has the changes, reading the whole table.", "table", f.Table, "after", f.version)
 		f.loaded = false
@@ -206,7 +210,7 @@
 // backOff logs the first failure in a row and pauses before the next call.
 func (f *Follower) backOff(ctx context.Context, err error) {
 	if !f.failing {
-		f.Log.Warn("Store does not answer.", "table", f.Table, "version", f.version, "error", err)
+		f.Log.Warn("Store does not answer.", "table", f.Table, "version", f.version, "took", f.took.Round(time.Millisecond), "error", err)
 		f.failing = true
 	}
 	f.backoff = min(max(2*f.backoff, minBackoff), maxBackoff)
