--- a/internal/run/chivehub/hub_test.go
+++ b/internal/run/chivehub/hub_test.go
@@ -56,6 +56,8 @@
 	// droppedUpTo is the version up to which the history was dropped.
 	droppedUpTo int64
 	down        bool
+	// silent leaves the calls of all entry VMs without an answer.
+	silent bool
 	// refused holds the entry VMs whose calls fail at once, unreachable those whose
 	// calls get no answer.
 	refused, unreachable map[string]bool
@@ -142,7 +144,7 @@
 // store is unreachable, it blocks until the context ends.
 func (a storeAccess) checkReachable(ctx context.Context) error {
 	a.store.mu.Lock()
-	down, unreachable := a.store.down || a.store.refused[a.name], a.store.unreachable[a.name]
+	down, unreachable := a.store.down || a.store.refused[a.name], a.store.silent || a.store.unreachable[a.name]
 	a.store.mu.Unlock()
 	if unreachable {
 		<-ctx.Done()
@@ -215,7 +217,8 @@
 	name   string
 	source *Source
 	mu     sync.Mutex
-	rows   map[string]chivefollow.Row
+	// rows holds the rows by table and key.
+	rows map[string]map[string]chivefollow.Row
 	// reports holds the last report of each other member.
 	reports map[string]simReport
 }
@@ -227,7 +230,7 @@
 	revisions        map[string]Revision
 }
 
-// simZone is a simulated zone of entry VMs that follow one table.
+// simZone is a simulated zone of entry VMs that follow two tables of the same content.
 type simZone struct {
 	store *fakeStore
 	vms   map[string]*simVM
@@ -238,6 +241,9 @@
 
 const tableName = "table"
 
+// tableWaits holds how long the calls for each table wait for a change.
+var tableWaits = map[string]time.Duration{tableName: LongPollWait, slowTable: slowTableWait}
+
 // peerTimeout is how long after its last report a member is considered unavailable.
 // reportPeriod is the time between two reports.
 const (
@@ -291,7 +297,10 @@
 
 // broadcastReport sends the state of an entry VM to all others.
 func (z *simZone) broadcastReport(from *simVM) {
-	r := simReport{receivedAt: time.Now(), sinceStoreAnswer: from.source.SinceStoreAnswer(), revisions: map[string]Revision{tableName: from.source.Journal(tableName).Revision()}}
+	r := simReport{receivedAt: time.Now(), sinceStoreAnswer: from.source.SinceStoreAnswer(), revisions: map[string]Revision{}}
+	for table := range tableWaits {
+		r.revisions[table] = from.source.Journal(table).Revision()
+	}
 	for _, v := range z.vms {
 		if v == from {
 			continue
@@ -303,19 +312,21 @@
 	}
 }
 
-// run lets an entry VM follow the table and send reports until the context ends.
+// run lets an entry VM follow the tables and send reports until the context ends.
 func (v *simVM) run(ctx context.Context, startDelay time.Duration) {
 	time.Sleep(startDelay)
-	f := &chivefollow.Follower{
-		Source: v.source, Table: tableName, Log: log.New(io.Discard), Wait: func() time.Duration { return LongPollWait },
-		OnUpdate: func(t chivefollow.Table) {
-			v.mu.Lock()
-			defer v.mu.Unlock()
-			v.rows = maps.Clone(t.Rows)
-		},
-	}
 	var running sync.WaitGroup
-	running.Go(func() { _ = f.Run(ctx) })
+	for table, wait := range tableWaits {
+		f := &chivefollow.Follower{
+			Source: v.source, Table: table, Log: log.New(io.Discard), Wait: func() time.Duration { return wait },
+			OnUpdate: func(t chivefollow.Table) {
+				v.mu.Lock()
+				defer v.mu.Unlock()
+				v.rows[table] = maps.Clone(t.Rows)
+			},
+		}
+		running.Go(func() { _ = f.Run(ctx) })
+	}
 	for ctx.Err() == nil {
 		if !v.zone.isFrozen(v.name) {
 			v.zone.broadcastReport(v)
@@ -332,7 +343,7 @@
 		frozen: map[string]bool{}, vms: map[string]*simVM{},
 	}
 	for i := range members {
-		v := &simVM{zone: z, name: fmt.Sprintf("vm-%02d", i), reports: map[string]simReport{}}
+		v := &simVM{zone: z, name: fmt.Sprintf("vm-%02d", i), reports: map[string]simReport{}, rows: map[string]map[string]chivefollow.Row{}}
 		v.source = &Source{
 			Store: storeAccess{z.store, v.name}, Replicas: v, Zone: v, LivenessTable: tableName, OnChange: func() { z.broadcastReport(v) },
 			Clock: simulatedNow, Log: log.New(io.Discard),
@@ -418,6 +429,42 @@
 	}
 }
 
+// settleTime is how long after an outage of the store bounds hold again.
+const settleTime = 3 * time.Second
+
+// TestOutageLeavesNoTableStale guards against drained runners that get requests for as long as
+// a call for changes waits (DRAIN): an outage of the store swallowed the call and its
+// repetition, and the VM served its zone a table that stood still. A change that is written
+// settleTime after an outage must reach every entry VM within propagationBound, in all tables.
+func TestOutageLeavesNoTableStale(t *testing.T) {
+	for seed := range uint64(15) {
+		synctest.Test(t, func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(seed, 24))
+			z := newSimZone(4)
+			z.runDuring(t, rng, func() {
+				for round := range 6 {
+					time.Sleep(settleTime + time.Duration(rng.Int64N(int64(slowTableWait))))
+					z.setSilent(true)
+					outage := time.Duration(rng.Int64N(int64(6 * time.Second)))
+					time.Sleep(outage)
+					z.setSilent(false)
+					time.Sleep(settleTime)
+					z.writeSome(rng)
+					time.Sleep(propagationBound)
+					z.checkReplicas(t, fmt.Sprintf("seed %d, round %d, after an outage of %v", seed, round, outage), "")
+				}
+			})
+		})
+	}
+}
+
+// setSilent sets whether the store leaves all calls without an answer.
+func (z *simZone) setSilent(silent bool) {
+	z.store.mu.Lock()
+	defer z.store.mu.Unlock()
+	z.store.silent = silent
+}
+
 // writeSome writes and removes a few rows.
 func (z *simZone) writeSome(rng *rand.Rand) {
 	for range 1 + rng.IntN(4) {
@@ -435,8 +482,11 @@
 			continue
 		}
 		v.mu.Lock()
-		if !maps.EqualFunc(v.rows, z.store.rows, func(a, b chivefollow.Row) bool { return a.Version == b.Version && string(a.Value) == string(b.Value) }) {
-			t.Errorf("%s: %s has %d rows that differ from the table's %d", when, name, len(v.rows), len(z.store.rows))
+		for table := range tableWaits {
+			rows := v.rows[table]
+			if !maps.EqualFunc(rows, z.store.rows, func(a, b chivefollow.Row) bool { return a.Version == b.Version && string(a.Value) == string(b.Value) }) {
+				t.Errorf("%s: %s has %d rows of %s that differ from the table's %d", when, name, len(rows), table, len(z.store.rows))
+			}
 		}
 		v.mu.Unlock()
 	}
