Bound each call to the store for changes by its own wait

Callers' requests reached drained runners for seconds (DRAIN) after an outage of the store. Cause: when a call is known to be in vain, it is made again without a wait, but that call was bounded by the time left of the first, up to 15 s and a margin. If the store was still silent, nothing noticed until that time was over; the operators' table recovered meanwhile, and the VM served its zone a runners' table that stood still. Change: each call is bounded by its wait and a margin.

--- a/internal/run/chivehub/wait.go
+++ b/internal/run/chivehub/wait.go
@@ -18,18 +18,26 @@
 // meanwhile, it gives up the call and calls again without a wait.
 func (s *Source) waitForChanges(ctx context.Context, name string, after chivefollow.Position, wait time.Duration) (chivefollow.Page, error) {
 	if wait <= 0 {
-		return s.Store.Changes(ctx, name, after, 0)
+		return s.callChanges(ctx, name, after, 0)
 	}
 	scope := s.currentWaits()
 	waiting, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stop := context.AfterFunc(scope.ctx, cancel)
 	defer stop()
-	page, err := s.Store.Changes(waiting, name, after, wait)
+	page, err := s.callChanges(waiting, name, after, wait)
 	if err == nil || scope.ctx.Err() == nil {
 		return page, err
 	}
-	return s.Store.Changes(ctx, name, after, 0)
+	return s.callChanges(ctx, name, after, 0)
+}
+
+// callChanges calls the store once for the changes of a table. The bound of ctx covers all
+// calls and waits of a step of the follower, and leaves a call without an answer for too long.
+func (s *Source) callChanges(ctx context.Context, name string, after chivefollow.Position, wait time.Duration) (chivefollow.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+chivefollow.CallMargin)
+	defer cancel()
+	return s.Store.Changes(ctx, name, after, wait)
 }
 
 // currentWaits returns the scope of a call that begins now.
--- a/internal/state/chivefollow/follower.go
+++ b/internal/state/chivefollow/follower.go
@@ -72,8 +72,8 @@
 }
 
 const (
-	// callMargin is the time that a call may take beyond its wait for changes.
-	callMargin = 1200 * time.Millisecond
+	// CallMargin is the time that a call may take beyond its wait for changes.
+	CallMargin = 1200 * time.Millisecond
 	// minBackoff and maxBackoff bound the pause after a failed call, which doubles
 	// with each failure in a row.
 	minBackoff = 50 * time.Millisecond
@@ -179,7 +179,7 @@
 	if f.loaded && !f.failing {
 		wait = f.Wait()
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+callMargin)
+	ctx, cancel := context.WithTimeout(ctx, wait+CallMargin)
 	defer cancel()
 	if !f.loaded {
 		return f.Source.Read(ctx, f.Table)
