End the waits at the store when the hub of the zone changes

Found while looking for the cause of DRAIN elsewhere: a member whose own call for a table waits at the store from before it had a hub notices nothing when that call is lost, since it reads the other tables from the hub. When it becomes the hub, its zone gets a table that stands still for up to 16 s. Cause: what shows that calls are in vain, a failed call for another table, is missing while the others are read from a hub. Change: a change of the hub ends the waits at the store. A wait that has ended reads from the hub, or, without one, asks the store again without a wait, as does every table's first call after the loss of a hub. A call waits only for what is left of the step's time, so that it does not run into its bound when a hub was awaited before. The test's frozen hub keeps to the bound of the real client.

--- a/internal/run/chivehub/hub_test.go
+++ b/internal/run/chivehub/hub_test.go
@@ -285,6 +285,8 @@
 // Changes implements Replicas.Changes.
 func (v *simVM) Changes(ctx context.Context, hub *Hub, table string, after chivefollow.Position) (chivefollow.Page, error) {
 	if v.zone.isFrozen(hub.Name) {
+		ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+		defer cancel()
 		<-ctx.Done()
 		return chivefollow.Page{}, ctx.Err()
 	}
@@ -403,13 +405,15 @@
 // TestChangesReachEveryEntryVM guards against replicas that stay stale after a fault. A
 // table changes while the hub is frozen, refused by the store or cut off from it, and
 // after the store was unavailable, dropped its history or returned from an older copy,
-// whose versions it gives out again. Each change must reach the entry VMs that reach the
+// whose versions it gives out again. That holds for all tables, also where a member becomes the
+// hub while its call for one of them, from before, is lost. Each change must reach the entry VMs that reach the
 // store within propagationBound.
 func TestChangesReachEveryEntryVM(t *testing.T) {
 	for seed := range uint64(15) {
 		synctest.Test(t, func(t *testing.T) {
 			rng := rand.New(rand.NewPCG(seed, 21))
 			z := newSimZone(6)
+			z.waits = tableWaits
 			z.runDuring(t, rng, func() {
 				time.Sleep(3 * time.Second)
 				for round := range 12 {
--- a/internal/run/chivehub/source.go
+++ b/internal/run/chivehub/source.go
@@ -172,12 +172,14 @@
 	if h != nil && h.Name == s.failedHub && s.Clock.Now() < s.failedHubUntil {
 		h = nil
 	}
-	s.logHub(h)
+	s.noteHub(h)
 	return h
 }
 
-// logHub logs a change of the hub. The caller must hold s.mu.
-func (s *Source) logHub(h *Hub) {
+// noteHub logs a change of the hub and ends the waits at the store: a call that is in progress
+// since another member became the hub may be lost unnoticed, as nothing else is read from the
+// store. The caller must hold s.mu.
+func (s *Source) noteHub(h *Hub) {
 	name := ""
 	if h != nil {
 		name = h.Name
@@ -186,6 +188,7 @@
 		return
 	}
 	s.lastHub = name
+	s.cancelWaits()
 	if h == nil {
 		s.Log.Info("Tables are read from the store.")
 		return
@@ -223,7 +226,13 @@
 		// A hub of an earlier era does not know yet that the store has returned from an
 		// older copy.
 		if h == nil || h.Revisions[name].Version == 0 || h.Revisions[name].Era < after.Era {
-			return s.storeChanges(ctx, t, name, after, wait)
+			page, err := s.storeChanges(ctx, t, name, after, until)
+			if errors.Is(err, errWaitEnded) {
+				// There may be a hub now.
+				until = s.Clock.Now()
+				continue
+			}
+			return page, err
 		}
 		t.fromHub = true
 		if h.Revisions[name].Era > after.Era || h.Revisions[name].LastChange > after.Version {
@@ -244,15 +253,17 @@
 	}
 }
 
-// storeChanges returns the changes after a position from the store.
-func (s *Source) storeChanges(ctx context.Context, t *table, name string, after chivefollow.Position, wait time.Duration) (chivefollow.Page, error) {
+// storeChanges returns the changes after a position from the store. It waits for the first
+// of them until the given moment, and returns errWaitEnded if the wait was ended.
+func (s *Source) storeChanges(ctx context.Context, t *table, name string, after chivefollow.Position, until chiveclock.Moment) (chivefollow.Page, error) {
 	if err := s.waitForTurn(ctx, t); err != nil {
 		return chivefollow.Page{}, err
 	}
-	if err := chiveclock.Sleep(ctx, min(t.pausedUntil.Sub(s.Clock.Now()), wait)); err != nil {
+	if err := chiveclock.Sleep(ctx, min(t.pausedUntil, until).Sub(s.Clock.Now())); err != nil {
 		return chivefollow.Page{}, err
 	}
-	if t.fromHub && name == s.LivenessTable || after.Era < s.latestEra() {
+	wait := until.Sub(s.Clock.Now())
+	if t.fromHub || after.Era < s.latestEra() {
 		// The hub's data may be stale, and the other members choose the next hub by
 		// whether the store answered it, so the first call must not wait. Nor must a
 		// call from an earlier era, whose table is known to be out of date.
@@ -260,6 +271,9 @@
 	}
 	t.fromHub = false
 	page, err := s.waitForChanges(ctx, name, after, wait)
+	if errors.Is(err, errWaitEnded) {
+		return page, err
+	}
 	if err == nil && len(page.Rows) > 0 {
 		t.pausedUntil = s.Clock.Now().Add(s.CoalesceDelays[name])
 	}
--- a/internal/run/chivehub/wait.go
+++ b/internal/run/chivehub/wait.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/chiveyoke/chiveyoke/internal/state/chivefollow"
@@ -14,8 +15,11 @@
 	end context.CancelFunc
 }
 
+// errWaitEnded is returned by a call to the store whose wait was ended.
+var errWaitEnded = errors.New("the wait for changes was ended")
+
 // waitForChanges calls the store for the changes of a table. If EndWaits is called
-// meanwhile, it gives up the call and calls again without a wait.
+// meanwhile, it gives up the call and returns errWaitEnded.
 func (s *Source) waitForChanges(ctx context.Context, name string, after chivefollow.Position, wait time.Duration) (chivefollow.Page, error) {
 	if wait <= 0 {
 		return s.callChanges(ctx, name, after, 0)
@@ -29,7 +33,7 @@
 	if err == nil || scope.ctx.Err() == nil {
 		return page, err
 	}
-	return s.callChanges(ctx, name, after, 0)
+	return chivefollow.Page{}, errWaitEnded
 }
 
 // callChanges calls the store once for the changes of a table. The bound of ctx covers all
