Let a member that the store has refused become the hub only after an answer

Found by the logs of the new test of zones: a hub that the store turns away switches between itself and the next hub every 50 ms for a second, and its zone with it. Cause: a read from a hub clears the failure of the call, and the last answer of the store, less than 1.1 s ago, makes the member the first hub by name again. Change: a failed call makes the last answer void. Evidence: TestRefusedHubLeaves failed before ("has called it 2 times beside a hub, want none"). Result: passes.

--- a/internal/run/chivehub/hub_test.go
+++ b/internal/run/chivehub/hub_test.go
@@ -62,6 +62,8 @@
 	// calls get no answer.
 	refused, unreachable map[string]bool
 	calls                int
+	// callsOf counts the calls by entry VM.
+	callsOf map[string]int
 	// silenced counts the calls of silence.
 	silenced int
 }
@@ -136,6 +138,10 @@
 func (a storeAccess) call(ctx context.Context) error {
 	a.store.mu.Lock()
 	a.store.calls++
+	if a.store.callsOf == nil {
+		a.store.callsOf = map[string]int{}
+	}
+	a.store.callsOf[a.name]++
 	a.store.mu.Unlock()
 	return a.checkReachable(ctx)
 }
@@ -343,7 +349,7 @@
 // newSimZone returns a zone with a number of entry VMs.
 func newSimZone(members int) *simZone {
 	z := &simZone{
-		waits: map[string]time.Duration{tableName: LongPollWait},
+		waits:  map[string]time.Duration{tableName: LongPollWait},
 		store:  &fakeStore{rows: map[string]chivefollow.Row{}, refused: map[string]bool{}, unreachable: map[string]bool{}, version: 1, era: 1},
 		frozen: map[string]bool{}, vms: map[string]*simVM{},
 	}
@@ -533,6 +539,37 @@
 	}
 }
 
+// TestRefusedHubLeaves guards against a hub that the store refuses and that becomes the hub again
+// as often as it reads from another, since that cleared the failure. It may call the store only
+// until there is another hub.
+func TestRefusedHubLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rng := rand.New(rand.NewPCG(1, 25))
+		z := newSimZone(3)
+		z.runDuring(t, rng, func() {
+			time.Sleep(3 * time.Second)
+			z.store.mu.Lock()
+			z.store.refused["vm-00"] = true
+			z.store.mu.Unlock()
+			time.Sleep(3 * reportPeriod)
+			z.store.resetCallsOf("vm-00")
+			time.Sleep(4 * time.Second)
+			if n := z.store.resetCallsOf("vm-00"); n > 0 {
+				t.Errorf("the entry VM that the store refuses has called it %d times beside a hub, want none", n)
+			}
+		})
+	})
+}
+
+// resetCallsOf returns the number of calls of an entry VM since it was called last.
+func (s *fakeStore) resetCallsOf(name string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := s.callsOf[name]
+	delete(s.callsOf, name)
+	return n
+}
+
 // TestJournal checks that the changes since any version turn a replica of that version
 // into the current table.
 func TestJournal(t *testing.T) {
--- a/internal/run/chivehub/source.go
+++ b/internal/run/chivehub/source.go
@@ -76,7 +76,8 @@
 	tables map[string]*table
 	// era is the latest era of the store that was seen.
 	era int64
-	// storeAnsweredAt is when the last successful call for LivenessTable returned.
+	// storeAnsweredAt is when the last successful call for LivenessTable returned, or 0 if a
+	// call has failed since.
 	storeAnsweredAt chiveclock.Moment
 	// failedHub is the last hub that failed. It is not used before failedHubUntil.
 	failedHub      string
@@ -315,7 +316,8 @@
 		if t.failedAt == 0 && errors.Is(err, chivefollow.ErrNoAnswer) {
 			s.endWaits("a call was not answered")
 		}
-		t.failedAt = now
+		// A hub clears failures, not this: only an answer shows that the store serves this VM.
+		t.failedAt, s.storeAnsweredAt = now, 0
 		return err
 	}
 	if t.failedAt != 0 {
