End the waits at the store on every unanswered call and when it answers again

Change: each call that is not answered ends the waits, and so does the first answer after a failure. Evidence: a case of TestWaitsEnd failed before ("up to date after 12.71s, want 2s").

--- a/internal/run/chivehub/hub_test.go
+++ b/internal/run/chivehub/hub_test.go
@@ -58,6 +58,8 @@
 	down        bool
 	// silent leaves the calls of all entry VMs without an answer.
 	silent bool
+	// silentFor holds the entry VMs and tables whose calls get no answer.
+	silentFor map[tableOf]bool
 	// refused holds the entry VMs whose calls fail at once, unreachable those whose
 	// calls get no answer.
 	refused, unreachable map[string]bool
@@ -68,6 +70,16 @@
 	silenced int
 }
 
+// tableOf is a table as an entry VM calls for it.
+type tableOf struct{ vm, table string }
+
+// setSilentFor sets whether the calls of an entry VM for a table get no answer.
+func (s *fakeStore) setSilentFor(vm, table string, silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silentFor = map[tableOf]bool{{vm, table}: silent}
+}
+
 // silence leaves all calls in progress without an answer.
 func (s *fakeStore) silence() {
 	s.mu.Lock()
@@ -135,7 +147,7 @@
 var errRefused = errors.New("store refuses calls of this entry VM")
 
 // call counts a call to the store and returns the error of checkReachable.
-func (a storeAccess) call(ctx context.Context) error {
+func (a storeAccess) call(ctx context.Context, table string) error {
 	a.store.mu.Lock()
 	a.store.calls++
 	if a.store.callsOf == nil {
@@ -143,14 +155,15 @@
 	}
 	a.store.callsOf[a.name]++
 	a.store.mu.Unlock()
-	return a.checkReachable(ctx)
+	return a.checkReachable(ctx, table)
 }
 
 // checkReachable returns an error if the store refuses calls of this entry VM. If the
 // store is unreachable, it blocks until the context ends.
-func (a storeAccess) checkReachable(ctx context.Context) error {
+func (a storeAccess) checkReachable(ctx context.Context, table string) error {
 	a.store.mu.Lock()
-	down, unreachable := a.store.down || a.store.refused[a.name], a.store.silent || a.store.unreachable[a.name]
+	down := a.store.down || a.store.refused[a.name]
+	unreachable := a.store.silent || a.store.unreachable[a.name] || a.store.silentFor[tableOf{a.name, table}]
 	a.store.mu.Unlock()
 	if unreachable {
 		<-ctx.Done()
@@ -163,8 +176,8 @@
 }
 
 // Read implements chivefollow.Source.Read.
-func (a storeAccess) Read(ctx context.Context, _ string) (chivefollow.Page, error) {
-	if err := a.call(ctx); err != nil {
+func (a storeAccess) Read(ctx context.Context, table string) (chivefollow.Page, error) {
+	if err := a.call(ctx, table); err != nil {
 		return chivefollow.Page{}, err
 	}
 	s := a.store
@@ -178,8 +191,8 @@
 }
 
 // Changes implements chivefollow.Source.Changes.
-func (a storeAccess) Changes(ctx context.Context, _ string, after chivefollow.Position, wait time.Duration) (chivefollow.Page, error) {
-	if err := a.call(ctx); err != nil {
+func (a storeAccess) Changes(ctx context.Context, table string, after chivefollow.Position, wait time.Duration) (chivefollow.Page, error) {
+	if err := a.call(ctx, table); err != nil {
 		return chivefollow.Page{}, err
 	}
 	a.store.mu.Lock()
@@ -187,7 +200,7 @@
 	a.store.mu.Unlock()
 	sent := simulatedNow()
 	for until := time.Now().Add(wait); ; time.Sleep(10 * time.Millisecond) {
-		if err := errors.Join(ctx.Err(), a.checkReachable(ctx)); err != nil {
+		if err := errors.Join(ctx.Err(), a.checkReachable(ctx, table)); err != nil {
 			return chivefollow.Page{}, err
 		}
 		if err := a.store.silencedSince(ctx, silenced); err != nil {
--- a/internal/run/chivehub/source.go
+++ b/internal/run/chivehub/source.go
@@ -313,7 +313,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err != nil {
-		if t.failedAt == 0 && errors.Is(err, chivefollow.ErrNoAnswer) {
+		if errors.Is(err, chivefollow.ErrNoAnswer) {
 			s.endWaits("a call was not answered")
 		}
 		// A hub clears failures, not this: only an answer shows that the store serves this VM.
@@ -322,6 +322,8 @@
 	}
 	if t.failedAt != 0 {
 		t.failedAt, page.Recovered = 0, now
+		// Calls of other tables that began during the failure may be lost.
+		s.endWaits("the store answers again")
 	}
 	t.readAt = now
 	s.noteEra(page.Era)
--- a/internal/run/chivehub/wait_test.go
+++ b/internal/run/chivehub/wait_test.go
@@ -86,6 +86,17 @@
 			_, rows := f.get()
 			return rows == 1
 		}, 2 * time.Second},
+		{"all connections go silent while calls for another table fail", func(s *fakeStore) {
+			s.setSilentFor("vm", tableName, true)
+			time.Sleep(3 * time.Second)
+			s.silence()
+			time.Sleep(2 * time.Second)
+			s.setSilentFor("vm", tableName, false)
+			s.write("new", false)
+		}, func(f *followedTable) bool {
+			_, rows := f.get()
+			return rows == 1
+		}, 2 * time.Second},
 		{"the store returns from an older copy that lacks no version", func(s *fakeStore) {
 			s.keepCopy()
 			s.returnFromCopy()
