Wait half a second for changes of runners, as for those of the operators

Same class as the cause of DRAIN: an answer that is lost on one connection is missed only after the wait of its call, 15 s for the runners' table, although the store answers for other tables. Change: calls for the runners' table wait 0.5 s.

--- a/internal/run/chiveentry/daemon.go
+++ b/internal/run/chiveentry/daemon.go
@@ -47,8 +47,9 @@
 	// idleTimeout is how long the idle connection of a caller is kept. Callers stop
 	// reusing theirs earlier.
 	idleTimeout = 60 * time.Second
-	// watchTimeout is how long a call to the store waits for a change, in tables
-	// other than the operators' table.
+	// watchTimeout is how long a call to the store waits for a change of the system's table.
+	// Those for the tables of operators and runners wait for chivehub.LongPollWait, since an
+	// answer that is lost is missed only after the wait.
 	watchTimeout = 15 * time.Second
 	// runnerBatchDelay and entryBatchDelay are how long changes of runners and of
 	// entry VMs are collected, so that one call to the store returns several. They
--- a/internal/run/chiveentry/fleet.go
+++ b/internal/run/chiveentry/fleet.go
@@ -45,7 +45,7 @@
 	}
 	return []*chivefollow.Follower{
 		follow(t.Operators, chivehub.LongPollWait, d.tracker.operatorTables),
-		follow(t.Runners, watchTimeout, d.tracker.runnerTables),
+		follow(t.Runners, chivehub.LongPollWait, d.tracker.runnerTables),
 		follow(t.System, watchTimeout, d.tracker.entryTables),
 	}
 }
--- a/internal/run/chivehub/hub_test.go
+++ b/internal/run/chivehub/hub_test.go
@@ -485,6 +485,46 @@
 	}
 }
 
+// runnersTable is a second table that waits as long as the first.
+const runnersTable = "runners"
+
+// TestHubWithOneSilentTable guards against a hub that serves its zone a runners' table of which it
+// hears nothing, since the store answers its calls for the operators' table (DRAIN). A change
+// of either table must reach the other members within propagationBound. The naive twin waits
+// longer for changes of runners.
+func TestHubWithOneSilentTable(t *testing.T) {
+	tests := []struct {
+		give, silent string
+		wait         time.Duration
+		want         bool
+	}{
+		{"operators", tableName, LongPollWait, true},
+		{"runners", runnersTable, LongPollWait, true},
+		{"runners, long wait", runnersTable, slowTableWait, false},
+	}
+	for _, tt := range tests {
+		synctest.Test(t, func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(1, 26))
+			z := newSimZone(4)
+			z.waits = map[string]time.Duration{tableName: LongPollWait, runnersTable: tt.wait}
+			fresh := true
+			z.runDuring(t, rng, func() {
+				for range 10 {
+					time.Sleep(settleTime + time.Duration(rng.Int64N(int64(LongPollWait))))
+					z.store.setSilentFor("vm-00", tt.silent, true)
+					z.writeSome(rng)
+					time.Sleep(propagationBound)
+					fresh = fresh && len(z.differences("vm-00")) == 0
+					z.store.setSilentFor("vm-00", tt.silent, false)
+				}
+			})
+			if fresh != tt.want {
+				t.Errorf("%s: tables are up to date: %t, want %t", tt.give, fresh, tt.want)
+			}
+		})
+	}
+}
+
 // setSilent sets whether the store leaves all calls without an answer.
 func (z *simZone) setSilent(silent bool) {
 	z.store.mu.Lock()
@@ -502,6 +542,13 @@
 // checkReplicas compares the replicas with the table, except the victim's.
 func (z *simZone) checkReplicas(t *testing.T, when, victim string) {
 	t.Helper()
+	for _, d := range z.differences(victim) {
+		t.Errorf("%s: %s", when, d)
+	}
+}
+
+// differences names the replicas that differ from the table, except the victim's.
+func (z *simZone) differences(victim string) (list []string) {
 	z.store.mu.Lock()
 	defer z.store.mu.Unlock()
 	for name, v := range z.vms {
@@ -512,11 +559,12 @@
 		for table := range z.waits {
 			rows := v.rows[table]
 			if !maps.EqualFunc(rows, z.store.rows, func(a, b chivefollow.Row) bool { return a.Version == b.Version && string(a.Value) == string(b.Value) }) {
-				t.Errorf("%s: %s has %d rows of %s that differ from the table's %d", when, name, len(rows), table, len(z.store.rows))
+				list = append(list, fmt.Sprintf("%s has %d rows of %s that differ from the table's %d", name, len(rows), table, len(z.store.rows)))
 			}
 		}
 		v.mu.Unlock()
 	}
+	return list
 }
 
 // TestStoreCalls guards against a number of store calls that grows with the zone, as it
