Divide the slack of retries by all entry VMs of the window

One of two causes of BUDGET where entry VMs are told to stop: repeats beyond the budget of all. Cause: those that were left divided the slack by the rows that were left, although the others had used their shares in the same 10 s; the log of budget-stops shows a division by 6 in place of 35. Change: an entry VM counts for one window after its row is gone. The budgets of all services are a type of their own, RetryBudgets. Evidence: TestSlackOfEntriesThatLeave failed before: 717 retries, 208 allowed. Result: passes. The other cause, processes that start with an empty window, is still there.

--- a/internal/run/chiveentry/metrics.go
+++ b/internal/run/chiveentry/metrics.go
@@ -110,10 +110,11 @@
 		tagged.Gauge("admission_held").Update(room.Held)
 		tagged.Gauge("admission_age_seconds").Update(room.Age.Seconds())
 	}
-	for name, use := range d.relay.State.RetryUses() {
+	spent, allowed := d.relay.State.RetryCounts()
+	for name := range spent {
 		tagged := s.Tagged(map[string]string{"service": name})
-		tagged.Gauge("retries_spent").Update(use.Spent)
-		tagged.Gauge("retries_allowed").Update(use.Allowed)
+		tagged.Gauge("retries_spent").Update(spent[name])
+		tagged.Gauge("retries_allowed").Update(allowed[name])
 	}
 	s.Gauge("entries_sharing").Update(float64(d.entriesSharing.Load()))
 	s.Gauge("reads_hub").Update(boolGauge(d.source.ReadsHub()))
--- a/internal/run/chiverelay/runner_state.go
+++ b/internal/run/chiverelay/runner_state.go
@@ -36,19 +36,19 @@
 // as the retry budgets, concurrency limits and workspace usage of services. It is
 // safe for concurrent use.
 type RunnerState struct {
-	limits RetryLimits
 	// admissions has its own lock, which may be taken while mu is held.
 	admissions admissions
 
 	mu sync.Mutex
 	// loads counts the requests in flight at each runner.
 	loads loadBook
-	// suspectUntil, slowStarts and inflight are keyed by runner ID, retryBudgets,
-	// limiters and ledgers by service, and slowReports by the source of the report.
+	// retries holds the retry budgets.
+	retries chivequota.RetryBudgets
+	// suspectUntil, slowStarts and inflight are keyed by runner ID, limiters and ledgers
+	// by service, and slowReports by the source of the report.
 	slowReports  map[string]slowReport
 	suspectUntil map[string]chiveclock.Moment
 	slowStarts   map[string]*chivequota.ColdLimiter
-	retryBudgets map[string]*chivequota.RetryBudget
 	limiters     map[string]*concurrencyLimiter
 	inflight     map[string]map[*inflightAttempt]bool
 	ledgers      map[string]*chivefair.Ledger
@@ -83,8 +83,9 @@
 // NewRunnerState returns the empty state of the entry VM named self.
 func NewRunnerState(self string, limits RetryLimits) *RunnerState {
 	return &RunnerState{
-		limits: limits, loads: newLoadBook(), slowReports: map[string]slowReport{}, suspectUntil: map[string]chiveclock.Moment{},
-		slowStarts: map[string]*chivequota.ColdLimiter{}, retryBudgets: map[string]*chivequota.RetryBudget{}, limiters: map[string]*concurrencyLimiter{}, inflight: map[string]map[*inflightAttempt]bool{}, ledgers: map[string]*chivefair.Ledger{},
+		retries: chivequota.RetryBudgets{Ratio: limits.RetryRatio, Slack: limits.RetrySlack, Span: limits.RetryWindow},
+		loads:   newLoadBook(), slowReports: map[string]slowReport{}, suspectUntil: map[string]chiveclock.Moment{},
+		slowStarts: map[string]*chivequota.ColdLimiter{}, limiters: map[string]*concurrencyLimiter{}, inflight: map[string]map[*inflightAttempt]bool{}, ledgers: map[string]*chivefair.Ledger{},
 		notices: map[chivefleet.Incarnation]notice{}, self: self,
 	}
 }
@@ -95,6 +96,7 @@
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
 	rs.entries = names
+	rs.retries.SetEntries(names, time.Duration(chiveclock.Now()))
 }
 
 // SetPeerLoad replaces the load reported by another entry VM or availability zone:
@@ -189,7 +191,7 @@
 func (rs *RunnerState) CountRequest(service string) {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
-	rs.retryBudget(service).AddRequest(time.Duration(chiveclock.Now()))
+	rs.retries.AddRequest(service, time.Duration(chiveclock.Now()))
 }
 
 // TakeRetry reports whether the budget of a service allows a retry, and charges
@@ -197,36 +199,14 @@
 func (rs *RunnerState) TakeRetry(service string) bool {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
-	return len(rs.entries) > 0 && rs.retryBudget(service).AllowRetry(time.Duration(chiveclock.Now()), len(rs.entries))
+	return rs.retries.AllowRetry(service, time.Duration(chiveclock.Now()))
 }
 
-// RetryUse is the use of a retry budget in its window.
-type RetryUse struct {
-	// Spent is the number of retries, Allowed their limit.
-	Spent, Allowed float64
-}
-
-// RetryUses returns the use of the retry budgets, by service.
-func (rs *RunnerState) RetryUses() map[string]RetryUse {
+// RetryCounts returns the number of retries in the window and their limit, by service.
+func (rs *RunnerState) RetryCounts() (spent, limit map[string]float64) {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
-	now := time.Duration(chiveclock.Now())
-	uses := make(map[string]RetryUse, len(rs.retryBudgets))
-	for service, b := range rs.retryBudgets {
-		uses[service] = RetryUse{Spent: b.Spent(now), Allowed: b.Limit(now, len(rs.entries))}
-	}
-	return uses
-}
-
-// retryBudget returns the retry budget of a service, created on first use. The
-// caller must hold mu.
-func (rs *RunnerState) retryBudget(service string) *chivequota.RetryBudget {
-	b := rs.retryBudgets[service]
-	if b == nil {
-		b = &chivequota.RetryBudget{Ratio: rs.limits.RetryRatio, Slack: rs.limits.RetrySlack, Span: rs.limits.RetryWindow}
-		rs.retryBudgets[service] = b
-	}
-	return b
+	return rs.retries.Spent(time.Duration(chiveclock.Now()))
 }
 
 // RecordPause adds a pause between two events of a stream to the limiter of a
