Let the members of a zone remember the retries of processes that start again

Callers' requests were repeated beyond the budget of all (BUDGET) where entry VMs were killed or told to stop while runners failed. Cause: a process starts with an empty window and may use its whole share of the slack, and a fifth of its requests, whatever the process before it on the same VM has used in the same 10 s. The class: a limit over time that is counted in one process's memory ends with it. Change: reports carry what a process has used of the budgets. The members of the zone remember it and tell a process that starts again under the same name, which counts it as its own. Until it knows, or the window has passed, it takes a twentieth of its share.

--- a/internal/policy/chivequota/retrybudget.go
+++ b/internal/policy/chivequota/retrybudget.go
@@ -18,32 +18,63 @@
 	Span time.Duration
 
 	requests, retries Window
+	// formerRequests and formerRetries are those of the process before.
+	formerRequests, formerRetries Window
+}
+
+// retryShare is the part of a budget that one entry VM may use.
+type retryShare struct {
+	// fraction is the fraction of the budget that all use, sharers their number.
+	fraction float64
+	sharers  int
 }
 
 // AddRequest counts a request.
 func (b *RetryBudget) AddRequest(now time.Duration) {
-	b.requests.Span = b.Span
+	b.setSpans()
 	b.requests.Add(now, 1)
 }
 
 // AllowRetry reports whether a retry may be sent, and counts it if so. entries is
 // the number of entry VMs that share the budget.
 func (b *RetryBudget) AllowRetry(now time.Duration, entries int) bool {
-	if b.Spent(now)+1 > b.Limit(now, entries) {
+	return b.allow(now, retryShare{fraction: safetyFactor, sharers: entries})
+}
+
+// allow reports whether a retry may be sent, and counts it if so.
+func (b *RetryBudget) allow(now time.Duration, s retryShare) bool {
+	if b.spent(now)+1 > b.limit(now, s) {
 		return false
 	}
 	b.retries.Add(now, 1)
 	return true
 }
 
-// Spent returns the number of retries in the window.
-func (b *RetryBudget) Spent(now time.Duration) float64 {
-	b.retries.Span = b.Span
-	return b.retries.Sum(now)
+// spent returns the number of retries in the window.
+func (b *RetryBudget) spent(now time.Duration) float64 {
+	b.setSpans()
+	return b.retries.Sum(now) + b.formerRetries.Sum(now)
+}
+
+// limit returns the number of retries that are allowed in the window.
+func (b *RetryBudget) limit(now time.Duration, s retryShare) float64 {
+	b.setSpans()
+	requests := b.requests.Sum(now) + b.formerRequests.Sum(now)
+	return s.fraction * (b.Ratio*requests + b.Slack/float64(max(1, s.sharers)))
 }
 
-// Limit returns the number of retries that are allowed in the window.
-func (b *RetryBudget) Limit(now time.Duration, entries int) float64 {
-	b.requests.Span = b.Span
-	return safetyFactor * (b.Ratio*b.requests.Sum(now) + b.Slack/float64(max(1, entries)))
+// history returns the requests and retries in the window, with those of the process before.
+func (b *RetryBudget) history(now time.Duration) RetryHistory {
+	b.setSpans()
+	return RetryHistory{
+		Requests: b.requests.History(now).plus(b.formerRequests.History(now)),
+		Retries:  b.retries.History(now).plus(b.formerRetries.History(now)),
+	}
+}
+
+// setSpans sets the spans of the windows, so that the zero value of the windows works.
+func (b *RetryBudget) setSpans() {
+	for _, w := range []*Window{&b.requests, &b.retries, &b.formerRequests, &b.formerRetries} {
+		w.Span = b.Span
+	}
 }
--- a/internal/policy/chivequota/retrybudgets_test.go
+++ b/internal/policy/chivequota/retrybudgets_test.go
@@ -21,6 +21,7 @@
 		for i := range budgets {
 			budgets[i] = RetryBudgets{Ratio: 0.2, Slack: slack, Span: span}
 			budgets[i].SetEntries(names, 0)
+			budgets[i].SetFormer(&FormerUse{}, 0)
 		}
 		sent := 0.0
 		for i := range entries {
@@ -41,3 +42,58 @@
 		}
 	}
 }
+
+// TestHistoryRestored checks that a process that starts again counts what the one before has told
+// for as long as that would have, and at most two buckets longer.
+func TestHistoryRestored(t *testing.T) {
+	const span = 10 * time.Second
+	for _, down := range []time.Duration{0, 700 * time.Millisecond, 4 * time.Second, 12 * time.Second} {
+		before, after := Window{Span: span}, Window{Span: span}
+		now := 33 * time.Second
+		for range 500 {
+			before.Add(now, 1)
+			now += 13 * time.Millisecond
+		}
+		told := before.History(now)
+		restarted := now + down
+		after.restore(told, now, restarted)
+		for later := restarted; later < restarted+2*span; later += 100 * time.Millisecond {
+			got, want, slack := after.Sum(later), before.Sum(later), before.Sum(later-2*span/buckets)
+			if got < want || got > slack {
+				t.Errorf("down for %v, %v after the start: %v events, want %v to %v", down, later-restarted, got, want, slack)
+			}
+		}
+	}
+}
+
+// TestStartFraction checks that a process that does not know of the one before uses only
+// startFraction, until the window has passed.
+func TestStartFraction(t *testing.T) {
+	const span = 10 * time.Second
+	tests := []struct {
+		give   string
+		after  time.Duration
+		former *FormerUse
+		want   int
+	}{
+		{"unknown", time.Second, nil, 5},
+		{"none before", time.Second, &FormerUse{}, 85},
+		{"the window has passed", span, nil, 85},
+		{"used before", time.Second, &FormerUse{RetryUse: RetryUse{Services: map[string]RetryHistory{"s": {Retries: History{0, 30}}}}}, 55},
+		{"slack is shared by others that have left", time.Second, &FormerUse{RetryUse: RetryUse{Sharers: 10}}, 8},
+	}
+	for _, tt := range tests {
+		b := RetryBudgets{Slack: 100, Span: span}
+		b.SetEntries([]string{"e"}, tt.after)
+		if tt.former != nil {
+			b.SetFormer(tt.former, tt.after)
+		}
+		n := 0
+		for b.AllowRetry("s", tt.after) {
+			n++
+		}
+		if n != tt.want {
+			t.Errorf("%s: %d retries, want %d", tt.give, n, tt.want)
+		}
+	}
+}
--- a/internal/policy/chivequota/window.go
+++ b/internal/policy/chivequota/window.go
@@ -22,7 +22,12 @@
 // Add counts n events at the time now.
 func (w *Window) Add(now time.Duration, n float64) {
 	w.advance(now)
-	w.counts[w.newest%int64(len(w.counts))] += n
+	w.counts[w.index(w.newest)] += n
+}
+
+// index returns the index in counts of a bucket, given by its number since time 0.
+func (w *Window) index(bucket int64) int64 {
+	return bucket % int64(len(w.counts))
 }
 
 // Sum returns the number of events in the window that ends now.
@@ -45,6 +50,6 @@
 	}
 	for w.newest < current {
 		w.newest++
-		w.counts[w.newest%int64(len(w.counts))] = 0
+		w.counts[w.index(w.newest)] = 0
 	}
 }
--- a/internal/run/chiveentry/daemon.go
+++ b/internal/run/chiveentry/daemon.go
@@ -23,6 +23,7 @@
 	"github.com/chiveyoke/chiveyoke/internal/peer/chiverunner"
 	"github.com/chiveyoke/chiveyoke/internal/policy/chivebudget"
 	"github.com/chiveyoke/chiveyoke/internal/policy/chivecap"
+	"github.com/chiveyoke/chiveyoke/internal/policy/chivequota"
 	"github.com/chiveyoke/chiveyoke/internal/run/chivebalance"
 	"github.com/chiveyoke/chiveyoke/internal/run/chivehub"
 	"github.com/chiveyoke/chiveyoke/internal/run/chivelog"
@@ -217,6 +218,14 @@
 			d.relay.Crashes.Merge(f.Suspects, delay)
 			d.relay.Rates.Merge(f.Rates, delay)
 		},
+		Retries: chivemesh.RetryMemory{
+			Span: settings.RetryLimits.RetryWindow, Use: runners.RetryUse,
+			OnFormer: func(f *chivequota.FormerUse) {
+				if runners.SetFormerRetries(f) {
+					d.log.Info("Retries of the process before are known.", "age", f.Age, "services", f.Services)
+				}
+			},
+		},
 		Log: d.log.WithPrefix("mesh"),
 	}
 	d.relay = &chiverelay.Relay{
--- a/internal/run/chivemesh/mesh.go
+++ b/internal/run/chivemesh/mesh.go
@@ -108,6 +108,8 @@
 	// each accepted report or digest and the known part of its delay. Both may be nil.
 	Facts   func() Facts
 	OnFacts func(facts Facts, delay time.Duration)
+	// Retries connects it with the retry budgets.
+	Retries RetryMemory
 	// Clock is the clock of the VM.
 	Clock chiveclock.Clock
 	Log   *log.Logger
@@ -291,6 +293,9 @@
 	if m.Facts != nil {
 		r.Facts = m.Facts()
 	}
+	if m.Retries.Use != nil {
+		r.Retries = m.Retries.Use()
+	}
 	if fleet.Config != nil {
 		r.ConfigVersion, r.ConfigAge = fleet.Config.Version, m.Clock.Since(fleet.ConfigConfirmedAt)
 	}
@@ -326,6 +331,9 @@
 	case p.Report != nil && m.acceptReport(p.Report):
 		m.OnReport(p.Report.From, p.Report.Load, p.Report.SlowRunners)
 		m.passFacts(p.Report.Facts, 0)
+		if p.Report.Former != nil && m.Retries.OnFormer != nil {
+			m.Retries.OnFormer(p.Report.Former)
+		}
 	case p.Digest != nil && m.acceptDigest(p.Digest):
 		m.OnReport(zoneSourcePrefix+p.Digest.Zone, p.Digest.Load, p.Digest.SlowRunners)
 		m.passFacts(p.Digest.Facts, p.Digest.RelayDelay)
--- a/internal/run/chivemesh/message.go
+++ b/internal/run/chivemesh/message.go
@@ -13,6 +13,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/chiveyoke/chiveyoke/internal/policy/chivecap"
+	"github.com/chiveyoke/chiveyoke/internal/policy/chivequota"
 	"github.com/chiveyoke/chiveyoke/internal/policy/chivesuspect"
 	"github.com/chiveyoke/chiveyoke/internal/run/chivehub"
 	"github.com/chiveyoke/chiveyoke/internal/state/chiveclock"
@@ -63,10 +64,28 @@
 	// SlowRunners holds the slowdown of each slow runner by ID, as detected by the
 	// holder of the map duty.
 	SlowRunners map[string]float64 `cbor:"slow,omitempty"`
+	// Retries is the sender's use of the retry budgets, nil if it does not know yet what the
+	// process before it has used.
+	Retries *chivequota.RetryUse `cbor:"retries,omitempty"`
+	// Former is what the sender remembers of the process before the receiver's, for a receiver
+	// that has started not long ago.
+	Former *chivequota.FormerUse `cbor:"former,omitempty"`
 	Load
 	Facts
 }
 
+// validate returns an error for a report that no entry VM sends.
+func (r *Report) validate() error {
+	err := errors.Join(r.Header.validate(), r.Facts.validate(), r.unpack())
+	if r.Retries != nil {
+		err = errors.Join(err, r.Retries.Validate())
+	}
+	if r.Former != nil {
+		err = errors.Join(err, r.Former.Validate())
+	}
+	return err
+}
+
 // Facts is what an entry VM has learned of prompts and runners, itself or from others. Facts
 // tell their age, so that a digest may carry those of its sender alone: it has those of its
 // zone.
@@ -174,7 +193,7 @@
 		return &p, p.Pulse.validate()
 	case p.Pulse != nil:
 	case p.Report != nil && p.Digest == nil:
-		return &p, errors.Join(p.Report.Header.validate(), p.Report.Facts.validate(), p.Report.unpack())
+		return &p, p.Report.validate()
 	case p.Digest != nil && p.Report == nil:
 		if p.Digest.Zone == "" || p.Digest.RelayDelay < 0 {
 			return nil, errors.New("digest has no zone or a negative relay delay")
--- a/internal/run/chivemesh/neighbour.go
+++ b/internal/run/chivemesh/neighbour.go
@@ -61,10 +61,13 @@
 
 // reportPackets returns the packets with the report to the neighbours.
 func (m *Mesh) reportPackets(report *Report) []outgoingPacket {
+	now := m.Clock.Now()
+	m.Retries.prune(now)
 	list := make([]outgoingPacket, 0, len(m.neighbours))
-	for _, n := range m.neighbours {
+	for name, n := range m.neighbours {
 		r := *report
 		r.Header = n.sender.replyHeader(r.Header, m.Clock.Now())
+		r.Former = m.Retries.formerOf(name, m.peersKnownAt, now)
 		list = append(list, outgoingPacket{to: n.addr, packet: Packet{Report: &r}})
 	}
 	return list
@@ -84,6 +87,7 @@
 		m.Log.Info("Peer is alive.", "peer", r.From, "boot", r.Boot)
 	}
 	n.alive, n.Revisions, n.load, n.slowRunners = true, r.Revisions, r.Load, r.SlowRunners
+	m.Retries.note(r.From, r.Boot, r.Retries, now)
 	n.setStatus(r.Boot, r.Status, now)
 	n.setConfigConfirmed(&r.Header, now)
 	return true
--- a/internal/run/chiverelay/runner_state.go
+++ b/internal/run/chiverelay/runner_state.go
@@ -83,7 +83,7 @@
 // NewRunnerState returns the empty state of the entry VM named self.
 func NewRunnerState(self string, limits RetryLimits) *RunnerState {
 	return &RunnerState{
-		retries: chivequota.RetryBudgets{Ratio: limits.RetryRatio, Slack: limits.RetrySlack, Span: limits.RetryWindow},
+		retries: chivequota.RetryBudgets{Ratio: limits.RetryRatio, Slack: limits.RetrySlack, Span: limits.RetryWindow, Started: time.Duration(chiveclock.Now())},
 		loads:   newLoadBook(), slowReports: map[string]slowReport{}, suspectUntil: map[string]chiveclock.Moment{},
 		slowStarts: map[string]*chivequota.ColdLimiter{}, limiters: map[string]*concurrencyLimiter{}, inflight: map[string]map[*inflightAttempt]bool{}, ledgers: map[string]*chivefair.Ledger{},
 		notices: map[chivefleet.Incarnation]notice{}, self: self,
@@ -202,6 +202,22 @@
 	return rs.retries.AllowRetry(service, time.Duration(chiveclock.Now()))
 }
 
+// RetryUse returns what this entry VM has used of the retry budgets, or nil if it does not know
+// yet what the process before has used.
+func (rs *RunnerState) RetryUse() *chivequota.RetryUse {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	return rs.retries.Use(time.Duration(chiveclock.Now()))
+}
+
+// SetFormerRetries sets what another entry VM remembers of the process before. It reports whether
+// that was the first it heard of it.
+func (rs *RunnerState) SetFormerRetries(f *chivequota.FormerUse) bool {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	return rs.retries.SetFormer(f, time.Duration(chiveclock.Now()))
+}
+
 // RetryCounts returns the number of retries in the window and their limit, by service.
 func (rs *RunnerState) RetryCounts() (spent, limit map[string]float64) {
 	rs.mu.Lock()
--- a/internal/run/chiverelay/unreachable_test.go
+++ b/internal/run/chiverelay/unreachable_test.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"github.com/chiveyoke/chiveyoke/internal/policy/chivequota"
 )
 
 // TestUnreachableRunners guards against requests that are held until their deadline, and retry
@@ -44,6 +46,7 @@
 	s := newTestCluster(t, 92, 0)
 	s.relay.State = NewRunnerState("e", RetryLimits{RetryRatio: 0, RetrySlack: 20, RetryWindow: 10 * time.Second})
 	s.relay.State.SetEntries([]string{"e"})
+	s.relay.State.SetFormerRetries(&chivequota.FormerUse{})
 	for _, r := range s.runners {
 		r.mu.Lock()
 		r.onlyFault, r.pause = faultReset, 50*time.Millisecond
