Send nothing to runners in slow start in the first second of a process

Change: a process sends nothing to cold runners in its first second, the window of that limit. The test of a loss of power lets that second pass before it wants requests; its bound is unchanged.

--- a/internal/run/chiverelay/cold_start_test.go
+++ b/internal/run/chiverelay/cold_start_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -51,9 +52,57 @@
 	}
 	for _, rs := range states {
 		rs.SetEntries(names)
+		rs.startedAt = rs.startedAt.Add(-coldWindow)
 		send(rs)
 	}
 	if sent == 0 || sent > bound {
 		t.Errorf("%d requests to a cold runner in a second, want 1 to %v", sent, bound)
 	}
 }
+
+// TestColdRunnersAfterRestarts guards against a cold runner that gets more than it bears
+// (FAILBACK): processes that start again within the second had no memory of what those before
+// them have sent in it.
+func TestColdRunnersAfterRestarts(t *testing.T) {
+	const (
+		coldRate = 100
+		bound    = coldRate*1.5 + 5
+	)
+	names := []string{"e0", "e1", "e2", "e3"}
+	runners := []*chivefleet.Runner{{ID: "cold", Service: "s", Slots: 1000, ColdUntil: chiveclock.Now().Add(time.Minute)}}
+	service := &chivefleet.Service{Name: "s", ColdRate: coldRate, Engine: &chivefleet.Engine{}}
+	options := ReserveOptions{Service: service, Rand: rand.New(rand.NewPCG(1, 2))}
+	began := time.Now()
+	var sent []time.Duration
+	for round := 0; time.Since(began) < 3*time.Second; round++ {
+		// All processes run for longer than a second at first, and then for a tenth of one.
+		life := 1200 * time.Millisecond
+		if round > 0 {
+			life = 100 * time.Millisecond
+		}
+		var states []*RunnerState
+		for _, name := range names {
+			rs := NewRunnerState(name, RetryLimits{RetryRatio: 1, RetrySlack: 100, RetryWindow: time.Second})
+			rs.SetEntries(names)
+			states = append(states, rs)
+		}
+		for end := time.Now().Add(life); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+			for _, rs := range states {
+				for rs.Reserve(runners, chivechoice.Chooser{}, options) != nil {
+					sent = append(sent, time.Since(began))
+				}
+			}
+		}
+		if round == 0 && len(sent) == 0 {
+			t.Error("processes that have run for a second send nothing to a cold runner")
+		}
+	}
+	most := 0
+	for i, from := range sent {
+		end, _ := slices.BinarySearch(sent, from+time.Second)
+		most = max(most, end-i)
+	}
+	if most > bound {
+		t.Errorf("%d requests to a cold runner within a second, want at most %v", most, bound)
+	}
+}
--- a/internal/run/chiverelay/runner_state.go
+++ b/internal/run/chiverelay/runner_state.go
@@ -21,6 +21,8 @@
 	suspectDuration = 1500 * time.Millisecond
 	// slowReportMaxAge is the age from which reports of slow runners are ignored.
 	slowReportMaxAge = 2500 * time.Millisecond
+	// coldWindow is the time over which requests to runners in slow start are counted.
+	coldWindow = time.Second
 )
 
 // RetryLimits bounds the retries that all entry VMs together send to a service.
@@ -59,6 +61,8 @@
 	// just started would otherwise take the limits for its own.
 	self    string
 	entries []string
+	// startedAt is when this process started.
+	startedAt chiveclock.Moment
 }
 
 // concurrencyLimiter limits the concurrent requests per model runner of a
@@ -82,9 +86,11 @@
 
 // NewRunnerState returns the empty state of the entry VM named self.
 func NewRunnerState(self string, limits RetryLimits) *RunnerState {
+	now := chiveclock.Now()
 	return &RunnerState{
-		retries: chivequota.RetryBudgets{Ratio: limits.RetryRatio, Slack: limits.RetrySlack, Span: limits.RetryWindow, Started: time.Duration(chiveclock.Now())},
-		loads:   newLoadBook(), slowReports: map[string]slowReport{}, suspectUntil: map[string]chiveclock.Moment{},
+		retries:   chivequota.RetryBudgets{Ratio: limits.RetryRatio, Slack: limits.RetrySlack, Span: limits.RetryWindow, Started: time.Duration(now)},
+		startedAt: now,
+		loads:     newLoadBook(), slowReports: map[string]slowReport{}, suspectUntil: map[string]chiveclock.Moment{},
 		slowStarts: map[string]*chivequota.ColdLimiter{}, limiters: map[string]*concurrencyLimiter{}, inflight: map[string]map[*inflightAttempt]bool{}, ledgers: map[string]*chivefair.Ledger{},
 		notices: map[chivefleet.Incarnation]notice{}, self: self,
 	}
@@ -376,7 +382,8 @@
 	if now >= r.ColdUntil || s.ColdRate == 0 {
 		return true
 	}
-	if len(rs.entries) == 0 {
+	// What the process before has sent in the last second is not known.
+	if len(rs.entries) == 0 || now.Sub(rs.startedAt) < coldWindow {
 		return false
 	}
 	c := rs.slowStarts[r.ID]
