Send a further attempt at a runner on a new connection

Report of other operators: a faulty runner wrote an earlier refusal once more on a kept connection; clients were told 'not run, try again' for a request that ran, or it ran at a second runner. Here: refusals of other requests, with or without an id, were skipped already, and requests that may run once have connections of their own. But a repeatable request that its runner had refused went there again on a kept connection, where the refusal bears the id of the request. Change: an attempt at a runner that the request was sent to before takes a new connection. Evidence: TestRefusalOnceMore failed before: "status 503, runner c refused", "ran 2 times, want once".

--- a/internal/run/chiverelay/attempt.go
+++ b/internal/run/chiverelay/attempt.go
@@ -21,8 +21,9 @@
 func (x *exchange) attempt(ctx context.Context, runner *chivefleet.Runner) bool {
 	x.runnerID = runner.ID
 	// A request that must not run twice takes a new connection: if the runner had
-	// closed an idle one, it would be unknown whether the request ran.
-	fresh := x.fresh || !x.route.Repeatable()
+	// closed an idle one, it would be unknown whether the request ran. So does a further
+	// attempt at a runner: what it writes on an idle one may be its answer to an earlier one.
+	fresh := x.fresh || !x.route.Repeatable() || x.tried[runner.ID]
 	conn, err := x.relay.Pool.Get(ctx, runner.Address, fresh)
 	if err != nil {
 		if chiverunner.IsRefused(err) {
