Use a new connection for every generation of an engine

Answers of engines name no request, so that a refusal on a kept connection can't be told from an earlier one. Change: generations take new connections, as calls of services do; metrics and orders keep theirs.

--- a/internal/peer/chiveengine/client.go
+++ b/internal/peer/chiveengine/client.go
@@ -33,14 +33,24 @@
 type Client struct {
 	base string
 	http *http.Client
+	// generations keeps no connections.
+	generations *http.Client
 }
 
-// NewClient returns a client of the engine at addr, given as host:port.
+// NewClient returns a client of the engine at addr, given as host:port. It uses a new
+// connection for every generation: answers of engines name no request, so that on a kept one
+// a refusal may belong to an earlier request.
 func NewClient(addr string) *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: 30 * time.Second}
-	return &Client{base: "http://" + addr, http: &http.Client{Transport: transport}}
+	return &Client{
+		base:        "http://" + addr,
+		http:        &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: 30 * time.Second}},
+		generations: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+	}
 }
 
+// maxIdleConns is the maximum number of idle connections for metrics and orders.
+const maxIdleConns = 4
+
 // Close closes idle connections.
 func (c *Client) Close() {
 	c.http.CloseIdleConnections()
@@ -81,7 +91,7 @@
 	}
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("Accept", "text/event-stream")
-	resp, err := c.http.Do(req)
+	resp, err := c.generations.Do(req)
 	if err != nil {
 		return chiveverdict.MayHaveRunf(chiveverdict.CodeUnreachable, "engine: %v", err)
 	}
