End a generation as cut if the engine reports an error in its stream

Change: an event with an error, or with neither choices nor usage, ends the generation as cut. Evidence: TestErrorInStream failed before in three of five cases ("error <nil>"). Result: passes, as do the tests of agents, gateways and proofs.

--- a/internal/peer/chiveengine/chat.go
+++ b/internal/peer/chiveengine/chat.go
@@ -79,6 +79,13 @@
 type Chunk struct {
 	Choices []Choice `json:"choices"`
 	Usage   *Usage   `json:"usage,omitempty"`
+	// Error is set if the engine has failed.
+	Error json.RawMessage `json:"error,omitempty"`
+}
+
+// failed reports whether the event is the report of a failure, not a part of a response.
+func (c *Chunk) failed() bool {
+	return len(c.Error) > 0 || c.Choices == nil && c.Usage == nil
 }
 
 // Choice is one of the alternative completions in a chunk. Only the first is used.
--- a/internal/peer/chiveengine/client.go
+++ b/internal/peer/chiveengine/client.go
@@ -179,6 +179,9 @@
 		if err := json.Unmarshal([]byte(event.Data), &chunk); err != nil {
 			return chiveverdict.MayHaveRunf(chiveverdict.CodeCut, "engine sent a malformed event: %v", err)
 		}
+		if chunk.failed() {
+			return chiveverdict.MayHaveRunf(chiveverdict.CodeCut, "engine failed in its stream: %.200s", event.Data)
+		}
 		if err := emit(chunk.output()); err != nil {
 			return err
 		}
--- a/internal/peer/chiveengine/client_test.go
+++ b/internal/peer/chiveengine/client_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 
 	"github.com/chiveyoke/chiveyoke/internal/policy/chiveverdict"
@@ -82,3 +83,31 @@
 		}
 	}
 }
+
+// TestErrorInStream guards against a generation that ends as if it were complete although the
+// engine has reported an error in its stream (ORDER).
+func TestErrorInStream(t *testing.T) {
+	const begin = "data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n"
+	tests := []struct {
+		give, body string
+		complete   bool
+	}{
+		{"none", begin + "data: [DONE]\n\n", true},
+		{"error", begin + "data: {\"error\":{\"message\":\"out of memory\"}}\n\ndata: [DONE]\n\n", false},
+		{"error as text", begin + "data: {\"error\":\"out of memory\"}\n\ndata: [DONE]\n\n", false},
+		{"other object", begin + "data: {\"object\":\"error\",\"message\":\"out of memory\"}\n\ndata: [DONE]\n\n", false},
+		{"text", begin + "data: failed\n\ndata: [DONE]\n\n", false},
+	}
+	for _, tt := range tests {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, tt.body)
+		}))
+		c := NewClient(server.Listener.Addr().String())
+		err := c.Generate(t.Context(), Generation{Body: []byte(`{"messages":[]}`)}, func(Output) error { return nil })
+		if (err == nil) != tt.complete {
+			t.Errorf("%s: error %v, want the generation to be complete: %t", tt.give, err, tt.complete)
+		}
+		c.Close()
+		server.Close()
+	}
+}
