--- a/internal/run/chivehub/hub_test.go
+++ b/internal/run/chivehub/hub_test.go
@@ -525,6 +525,34 @@
 	}
 }
 
+// TestFirstMembersRefused guards against a zone that nobody informs because the store turns away just
+// the members that keep calling it after an outage (DRAIN). A change that is written settleTime
+// after the outage must reach the members that the store serves within propagationBound.
+func TestFirstMembersRefused(t *testing.T) {
+	for seed := range uint64(10) {
+		synctest.Test(t, func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(seed, 27))
+			z := newSimZone(6)
+			z.waits = tableWaits
+			z.runDuring(t, rng, func() {
+				time.Sleep(settleTime)
+				z.setSilent(true)
+				time.Sleep(time.Duration(rng.Int64N(int64(6 * time.Second))))
+				z.store.mu.Lock()
+				for k := range maxStoreProbers + rng.IntN(3) {
+					z.store.refused[fmt.Sprintf("vm-%02d", k)] = true
+				}
+				z.store.mu.Unlock()
+				z.setSilent(false)
+				time.Sleep(settleTime)
+				z.writeSome(rng)
+				time.Sleep(propagationBound)
+				z.checkReplicas(t, fmt.Sprintf("seed %d", seed), "")
+			})
+		})
+	}
+}
+
 // setSilent sets whether the store leaves all calls without an answer.
 func (z *simZone) setSilent(silent bool) {
 	z.store.mu.Lock()
