Compare echoed readings of the clock only within one process

Cause: a peer echoes the last reading of the clock that it has heard. After a loss of power the clock begins anew, and the echo of a reading from before lies far in the future, as does the moment at which the configuration counts as confirmed. Change: a reading carries the incarnation of the process that took it, and gives a moment only to that process. Readings of another process, of the future or none are ignored with one line each, and the rest of the message holds. A sum of a reading and a delay is never later than now.

--- a/internal/run/chivemesh/mesh_test.go
+++ b/internal/run/chivemesh/mesh_test.go
@@ -48,8 +48,8 @@
 			}
 			// The peer's report may take any time, which the receiver cannot know.
 			s.accept(&Header{
-				From: "b", Boot: 1, SentAt: now + skew, EchoedSentAt: sentAt, EchoDelay: now.Sub(arrivedAt), ConfigVersion: 3, ConfigAge: now.Sub(confirmed),
-			}, now)
+				From: "b", Boot: 1, SentAt: now + skew, Echo: Reading{Boot: 7, At: sentAt}, EchoDelay: now.Sub(arrivedAt), ConfigVersion: 3, ConfigAge: now.Sub(confirmed),
+			}, 7, now)
 			if got := s.confirmation(3); got > confirmed {
 				t.Fatalf("seed %d: relayed confirmation is %v later than the real one", seed, got.Sub(confirmed))
 			}
@@ -74,7 +74,7 @@
 // refused, and that a restart of the sender discards its earlier confirmation.
 func TestAcceptReport(t *testing.T) {
 	entries := map[string]chivefleet.Entry{"b": {Name: "b", MeshAddr: "127.0.0.1:1"}}
-	m := newMesh(chivefleet.Entry{Name: "a"}, &chivefleet.Fleet{Entries: entries})
+	m := newMesh(chivefleet.Entry{Name: "a", Boot: 1}, &chivefleet.Fleet{Entries: entries})
 	m.updateNeighbours(entries)
 	tests := []struct {
 		give   string
@@ -82,10 +82,10 @@
 		want   bool
 	}{
 		{"unknown sender", Header{From: "c", Boot: 1, SentAt: 5}, false},
-		{"first report", Header{From: "b", Boot: 1, SentAt: 5, EchoedSentAt: 1, ConfigVersion: 2}, true},
+		{"first report", Header{From: "b", Boot: 1, SentAt: 5, Echo: Reading{Boot: 1, At: 1}, ConfigVersion: 2}, true},
 		{"duplicate", Header{From: "b", Boot: 1, SentAt: 5}, false},
 		{"older report", Header{From: "b", Boot: 1, SentAt: 4}, false},
-		{"newer report", Header{From: "b", Boot: 1, SentAt: 6, EchoedSentAt: 2, ConfigVersion: 2}, true},
+		{"newer report", Header{From: "b", Boot: 1, SentAt: 6, Echo: Reading{Boot: 1, At: 2}, ConfigVersion: 2}, true},
 		{"restarted sender", Header{From: "b", Boot: 2, SentAt: 1, ConfigVersion: 2}, true},
 	}
 	for _, tt := range tests {
--- a/internal/run/chivemesh/message.go
+++ b/internal/run/chivemesh/message.go
@@ -35,11 +35,11 @@
 	Boot uint64 `cbor:"boot"`
 	// SentAt is when the message was sent, by the sender's clock.
 	SentAt chiveclock.Moment `cbor:"sent"`
-	// EchoedSentAt is SentAt of the last message that the sender got from the
-	// receiver, by the receiver's clock; 0 if there was none. EchoDelay is the time
-	// from the arrival of that message until this one was sent.
-	EchoedSentAt chiveclock.Moment `cbor:"echo,omitempty"`
-	EchoDelay    time.Duration     `cbor:"kept,omitempty"`
+	// Echo is SentAt of the last message that the sender got from the receiver, as a reading
+	// of the receiver's clock. EchoDelay is the time from the arrival of that message until
+	// this one was sent.
+	Echo      Reading       `cbor:"heard,omitzero"`
+	EchoDelay time.Duration `cbor:"kept,omitempty"`
 	// ConfigVersion is the version of the sender's configuration, or 0 if it has
 	// none. It was known to be the newest ConfigAge before the message was sent.
 	ConfigVersion int64         `cbor:"version"`
--- a/internal/run/chivemesh/neighbour.go
+++ b/internal/run/chivemesh/neighbour.go
@@ -4,6 +4,7 @@
 	"maps"
 	"net"
 
+	"github.com/chiveyoke/chiveyoke/internal/state/chiveclock"
 	"github.com/chiveyoke/chiveyoke/internal/state/chivefleet"
 )
 
@@ -80,7 +81,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	n := m.neighbours[r.From]
-	if n == nil || !n.sender.accept(&r.Header, now) {
+	if n == nil || !m.acceptHeader(&n.sender, &r.Header, now) {
 		return false
 	}
 	if !n.alive {
@@ -93,6 +94,16 @@
 	return true
 }
 
+// acceptHeader stores the header of a message in the state of its sender. It returns false for a
+// message that is out of order.
+func (m *Mesh) acceptHeader(s *senderState, h *Header, now chiveclock.Moment) bool {
+	ok, ignored := s.accept(h, m.Self.Boot, now)
+	if ignored != nil {
+		m.Log.Info("Echoed reading of the clock is ignored.", "peer", h.From, "boot", h.Boot, "why", ignored)
+	}
+	return ok
+}
+
 // isAggregator reports whether this entry VM is the aggregator of its zone: the first
 // by name of those that are alive and not leaving. It returns false until this entry
 // VM has listened for startupListenTime, since its digest would lack neighbours.
--- a/internal/run/chivemesh/remotezone.go
+++ b/internal/run/chivemesh/remotezone.go
@@ -55,7 +55,7 @@
 		m.remoteZones[d.Zone] = z
 	}
 	fromAggregator := d.RelayDelay == 0
-	if fromAggregator && !z.sender.accept(&d.Header, now) {
+	if fromAggregator && !m.acceptHeader(&z.sender, &d.Header, now) {
 		return false
 	}
 	createdAt := now.Add(-d.RelayDelay)
--- a/internal/run/chivemesh/sender.go
+++ b/internal/run/chivemesh/sender.go
@@ -1,6 +1,10 @@
 package chivemesh
 
-import "github.com/chiveyoke/chiveyoke/internal/state/chiveclock"
+import (
+	"errors"
+
+	"github.com/chiveyoke/chiveyoke/internal/state/chiveclock"
+)
 
 // senderState holds the identity, the times and the configuration version from the
 // headers of another entry VM's messages. The zero value means that no message has
@@ -17,26 +21,37 @@
 	// than the true moment, regardless of message delays.
 	configVersion     int64
 	configConfirmedAt chiveclock.Moment
+	// ignored is why the last echoed reading was ignored, or nil.
+	ignored error
 }
 
-// accept stores the header of a message. It returns false for a message that is out
-// of order.
-func (s *senderState) accept(h *Header, now chiveclock.Moment) bool {
+// accept stores the header of a message to the process with the incarnation self. It returns
+// false for a message that is out of order. ignored is the reason if the echoed reading of the
+// clock is ignored for another reason than the one before from the same process, else nil.
+func (s *senderState) accept(h *Header, self uint64, now chiveclock.Moment) (ok bool, ignored error) {
 	same := h.From == s.name && h.Boot == s.boot
 	if same && h.SentAt <= s.lastSentAt {
-		return false
+		return false, nil
+	}
+	if !same {
+		s.ignored = nil
 	}
 	if !same || h.ConfigVersion != s.configVersion {
 		s.configConfirmedAt = 0
 	}
 	s.name, s.boot, s.lastSentAt, s.heardAt, s.configVersion = h.From, h.Boot, h.SentAt, now, h.ConfigVersion
+	echoed, err := h.Echo.moment(self, now)
+	if err != nil && !errors.Is(err, s.ignored) {
+		ignored = err
+	}
+	s.ignored = err
 	// This message was sent at least EchoDelay after the echoed one, and the
 	// configuration was the newest ConfigAge before that. The sum is thus a lower
 	// bound by the local clock, regardless of how long the datagrams took.
-	if h.EchoedSentAt != 0 && h.ConfigVersion > 0 {
-		s.configConfirmedAt = max(s.configConfirmedAt, h.EchoedSentAt.Add(h.EchoDelay-h.ConfigAge))
+	if err == nil && h.ConfigVersion > 0 {
+		s.configConfirmedAt = max(s.configConfirmedAt, min(echoed.Add(h.EchoDelay), now).Add(-h.ConfigAge))
 	}
-	return true
+	return true, ignored
 }
 
 // confirmation returns a moment at which the sender knew the given version of the
@@ -52,9 +67,9 @@
 // at the time now.
 func (s *senderState) replyHeader(h Header, now chiveclock.Moment) Header {
 	h.SentAt = now
-	h.EchoedSentAt, h.EchoDelay = s.lastSentAt, 0
-	if s.lastSentAt != 0 {
-		h.EchoDelay = h.SentAt.Sub(s.heardAt)
+	h.Echo, h.EchoDelay = Reading{}, 0
+	if s.boot != 0 {
+		h.Echo, h.EchoDelay = Reading{Boot: s.boot, At: s.lastSentAt}, h.SentAt.Sub(s.heardAt)
 	}
 	return h
 }
