Compute the age of the configuration when a message is stamped

Suspected by the review from reading: an age that is computed before a suspension and sent with a clock reading of after it looks younger than it is (CONFIG). Change: the header keeps the moment, and the age is computed from the reading that goes with it.

--- a/internal/run/chivemesh/mesh.go
+++ b/internal/run/chivemesh/mesh.go
@@ -297,7 +297,7 @@
 		r.Retries = m.Retries.Use()
 	}
 	if fleet.Config != nil {
-		r.ConfigVersion, r.ConfigAge = fleet.Config.Version, m.Clock.Since(fleet.ConfigConfirmedAt)
+		r.ConfigVersion, r.configConfirmedAt = fleet.Config.Version, fleet.ConfigConfirmedAt
 	}
 	return r
 }
--- a/internal/run/chivemesh/message.go
+++ b/internal/run/chivemesh/message.go
@@ -44,6 +44,9 @@
 	// none. It was known to be the newest ConfigAge before the message was sent.
 	ConfigVersion int64         `cbor:"version"`
 	ConfigAge     time.Duration `cbor:"age"`
+	// configConfirmedAt is the moment from which ConfigAge is computed when SentAt is read, so
+	// that no suspension lies between both.
+	configConfirmedAt chiveclock.Moment
 }
 
 // validate returns an error for a header that no entry VM sends.
--- a/internal/run/chivemesh/reading_test.go
+++ b/internal/run/chivemesh/reading_test.go
@@ -114,3 +114,23 @@
 		}
 	}
 }
+
+// TestSuspensionWhileReporting guards against a confirmation that looks younger than it is (CONFIG):
+// the process was suspended after it had computed the age and before it read its clock for the
+// message.
+func TestSuspensionWhileReporting(t *testing.T) {
+	const suspension = 30 * time.Second
+	p := newPair()
+	p.send("a", "b")
+	b := p.meshes["b"]
+	report := b.buildReport(p.fleet)
+	for _, c := range p.clocks {
+		*c = c.Add(suspension)
+	}
+	for _, o := range b.roundPackets(p.fleet, report) {
+		p.meshes["a"].handle(&o.packet)
+	}
+	if got := p.meshes["a"].ConfigConfirmedAt(3); got > p.fleet.ConfigConfirmedAt {
+		t.Errorf("the configuration counts as confirmed %v later than it was", got.Sub(p.fleet.ConfigConfirmedAt))
+	}
+}
--- a/internal/run/chivemesh/sender.go
+++ b/internal/run/chivemesh/sender.go
@@ -67,6 +67,9 @@
 // at the time now.
 func (s *senderState) replyHeader(h Header, now chiveclock.Moment) Header {
 	h.SentAt = now
+	if h.ConfigVersion > 0 {
+		h.ConfigAge = now.Sub(h.configConfirmedAt)
+	}
 	h.Echo, h.EchoDelay = Reading{}, 0
 	if s.boot != 0 {
 		h.Echo, h.EchoDelay = Reading{Boot: s.boot, At: s.lastSentAt}, h.SentAt.Sub(s.heardAt)
