Let a process that starts hear its peers before it relies on a configuration

Cause: only a process that has seen the era change distrusts an older configuration. Evidence: TestStartAsStoreReturns failed before ("request 4 with a key that was taken away is served"); TestConfigOfPeers.

--- a/internal/bench/chiveplatform/site_test.go
+++ b/internal/bench/chiveplatform/site_test.go
@@ -385,6 +385,45 @@
 	}
 }
 
+// TestStartAsStoreReturns guards against a process that starts as the store returns from an older
+// copy and relies on a configuration with a key that was taken away (CONFIG): it has not seen that
+// the store has lost a newer one, but its peers have that one.
+func TestStartAsStoreReturns(t *testing.T) {
+	const (
+		revokeBound = 5 * time.Second
+		rewriteTime = 2 * time.Second
+	)
+	s := startSite(t, 11, 4, 2)
+	client, restarted := &http.Client{}, s.EntryVMs[1]
+	send := func(key string, n int) int {
+		return Send(t.Context(), client, restarted.CallerAddress(), "any", fmt.Sprintf("%s-%d", key, n), key).Status
+	}
+	older := s.Store.Copy()
+	if err := s.Configure("k1"); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(revokeBound)
+	s.Store.SetFault(StoreBusy)
+	restarted.Signal(syscall.SIGKILL)
+	restarted.WaitExit(5 * time.Second)
+	if err := restarted.Start(); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(300 * time.Millisecond)
+	s.Store.ReturnFrom(older, func(string) bool { return true })
+	s.Store.SetFault(StoreHealthy)
+	n := 0
+	for end := time.Now().Add(rewriteTime); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if n++; send("k2", n) == http.StatusOK {
+			t.Fatalf("request %d with a key that was taken away is served", n)
+		}
+	}
+	if err := s.Configure("k1"); err != nil {
+		t.Fatal(err)
+	}
+	waitForStatus(t, func(string) int { n++; return send("k1", n) }, http.StatusOK)
+}
+
 // waitForStatus sends requests until one is answered with the given status.
 func waitForStatus(t *testing.T, send func(id string) int, want int) {
 	t.Helper()
--- a/internal/run/chiveentry/daemon.go
+++ b/internal/run/chiveentry/daemon.go
@@ -188,7 +188,7 @@
 	}).With("process", settings.Entry.Name)
 	d.tracker = NewTracker(deps.Codec, d.log.WithPrefix("fleet"))
 	d.tracker.entriesRestored = d.checkRegistration
-	d.tracker.onEntries = d.setEntries
+	d.tracker.onEntries, d.tracker.peerConfig = d.setEntries, d.peerConfig
 	runners := chiverelay.NewRunnerState(settings.Entry.Name, settings.RetryLimits)
 	d.balancer = &chivebalance.Balancer{
 		Engine: deps.Engine, Table: deps.Leases, Name: processName(settings.Entry, settings.Entry.Boot),
--- a/internal/run/chiveentry/fleet.go
+++ b/internal/run/chiveentry/fleet.go
@@ -24,7 +24,7 @@
 		return f
 	}
 	confirmed := d.mesh.ConfigConfirmedAt(f.Config.Version)
-	if confirmed <= f.ConfigConfirmedAt {
+	if confirmed <= f.ConfigConfirmedAt || d.mesh.NewestConfigVersion() > f.Config.Version {
 		return f
 	}
 	next := *f
@@ -32,6 +32,25 @@
 	return &next
 }
 
+// peerConfig returns the latest version of the configuration that a peer has told, and whether all
+// registered members of this zone and someone of each other zone have been heard.
+func (d *Daemon) peerConfig() (newest int64, complete bool) {
+	heard, zones := map[string]bool{d.settings.Entry.Name: true}, map[string]bool{}
+	for _, p := range d.mesh.Peers() {
+		heard[p.Entry.Name], zones[p.Entry.Zone] = true, true
+	}
+	entries := d.tracker.Fleet().Entries
+	complete = len(entries) > 0
+	for name, e := range entries {
+		if e.Zone == d.settings.Entry.Zone {
+			complete = complete && heard[name]
+		} else {
+			complete = complete && zones[e.Zone]
+		}
+	}
+	return d.mesh.NewestConfigVersion(), complete
+}
+
 // followers returns the followers of the store's tables, which send each new replica
 // to the tracker.
 func (d *Daemon) followers(ctx context.Context) []*chivefollow.Follower {
--- a/internal/run/chiveentry/tracker.go
+++ b/internal/run/chiveentry/tracker.go
@@ -78,6 +78,14 @@
 	onEntries func(entries map[string]chivefleet.Entry)
 	// entriesEra is the era of the rows of entry VMs.
 	entriesEra int64
+	// peerConfig returns the latest version of the configuration that a peer has told, and
+	// whether all zones and all members of this zone have been heard; nil means that there are
+	// no peers.
+	peerConfig func() (newest int64, complete bool)
+	// firstConfigAt is when the first configuration was read, peersHeard whether peers are no
+	// longer awaited before one is relied on.
+	firstConfigAt chiveclock.Moment
+	peersHeard    bool
 	// lastRecovery is when the store last answered again after a failure, 0 if it has
 	// not failed.
 	lastRecovery chiveclock.Moment
@@ -199,12 +207,34 @@
 // newest. An older copy of the store may lack a newer one that took a key away, until
 // operators have written it again.
 func (t *Tracker) confirmsConfig(table chivefollow.Table, inForce *chivefleet.Config) bool {
-	if inForce == nil || t.lastRestore == 0 {
+	if inForce == nil {
+		return true
+	}
+	// A store that tells no era does not return from older copies.
+	if table.Era != 0 && !t.confirmedByPeers(inForce) {
+		return false
+	}
+	if t.lastRestore == 0 {
 		return true
 	}
 	return t.storedConfig >= inForce.Version && table.Confirmed.Sub(t.lastRestore) >= restoreGrace
 }
 
+// confirmedByPeers reports whether no peer has told of a newer configuration. A process that has
+// just started can't know whether the store has returned from an older copy, so that it awaits
+// its peers, for discoveryTime at most.
+func (t *Tracker) confirmedByPeers(inForce *chivefleet.Config) bool {
+	if t.peerConfig == nil {
+		return true
+	}
+	if t.firstConfigAt == 0 {
+		t.firstConfigAt = chiveclock.Now()
+	}
+	newest, complete := t.peerConfig()
+	t.peersHeard = t.peersHeard || complete || chiveclock.Since(t.firstConfigAt) >= discoveryTime
+	return t.peersHeard && newest <= inForce.Version
+}
+
 // decodeConfig returns the configuration of a row, or nil if it is malformed or older
 // than the one in force. It logs the result.
 func (t *Tracker) decodeConfig(r chivefollow.Row) *chivefleet.Config {
--- a/internal/run/chiveentry/tracker_test.go
+++ b/internal/run/chiveentry/tracker_test.go
@@ -313,3 +313,37 @@
 		}
 	}
 }
+
+// TestConfigOfPeers guards against a process that starts as the store returns from an older copy and
+// relies on the older configuration (CONFIG). It must not before it has heard its peers, and not
+// while one of them has a newer one.
+func TestConfigOfPeers(t *testing.T) {
+	tests := []struct {
+		give     string
+		newest   int64
+		complete bool
+		// since is the time since the first configuration was read.
+		since time.Duration
+		era   int64
+		want  bool
+	}{
+		{"peers are not heard yet", 0, false, 0, 1, false},
+		{"the store tells no era", 0, false, 0, 0, true},
+		{"peers have the same", 7, true, 0, 1, true},
+		{"peers have none", 0, true, 0, 1, true},
+		{"a peer has a newer one", 8, true, 0, 1, false},
+		{"a peer has an older one", 6, true, 0, 1, true},
+		{"one peer does not report", 7, false, discoveryTime, 1, true},
+		{"a peer has a newer one, another does not report", 8, false, discoveryTime, 1, false},
+		{"nobody reports", 0, false, discoveryTime, 1, true},
+	}
+	for _, tt := range tests {
+		tr := newTracker()
+		tr.peerConfig = func() (int64, bool) { return tt.newest, tt.complete }
+		tr.firstConfigAt = chiveclock.Now().Add(-tt.since)
+		tr.applyOperators(chivefollow.Table{Era: tt.era, Confirmed: chiveclock.Now(), Rows: rows(chivefollow.Row{Key: "config", Value: []byte{7}, Version: 20})})
+		if got := tr.Fleet().ConfigConfirmedAt != 0; got != tt.want {
+			t.Errorf("%s: the configuration is confirmed: %t, want %t", tt.give, got, tt.want)
+		}
+	}
+}
--- a/internal/run/chivemesh/mesh.go
+++ b/internal/run/chivemesh/mesh.go
@@ -119,6 +119,8 @@
 	remoteZones map[string]*remoteZone
 	leaving     bool
 	wake        chan struct{}
+	// newestConfig is the latest version of the configuration that a peer has told.
+	newestConfig int64
 	// peersKnownAt is when the fleet first contained entry VMs, or 0.
 	peersKnownAt chiveclock.Moment
 	conn         *net.UDPConn
@@ -192,6 +194,14 @@
 	return newest
 }
 
+// NewestConfigVersion returns the latest version of the configuration that a peer has told, or 0 if
+// none has told any.
+func (m *Mesh) NewestConfigVersion() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.newestConfig
+}
+
 // Run sends and receives reports until the context is canceled. It returns an error
 // if it cannot listen on the mesh address.
 func (m *Mesh) Run(ctx context.Context) error {
--- a/internal/run/chivemesh/neighbour.go
+++ b/internal/run/chivemesh/neighbour.go
@@ -88,6 +88,7 @@
 		m.Log.Info("Peer is alive.", "peer", r.From, "boot", r.Boot)
 	}
 	n.alive, n.Revisions, n.load, n.slowRunners = true, r.Revisions, r.Load, r.SlowRunners
+	m.newestConfig = max(m.newestConfig, r.ConfigVersion)
 	m.Retries.note(r.From, r.Boot, r.Retries, now)
 	n.setStatus(r.Boot, r.Status, now)
 	n.setConfigConfirmed(&r.Header, now)
--- a/internal/run/chivemesh/remotezone.go
+++ b/internal/run/chivemesh/remotezone.go
@@ -62,6 +62,7 @@
 	if createdAt <= z.createdAt {
 		return false
 	}
+	m.newestConfig = max(m.newestConfig, d.ConfigVersion)
 	z.digest, z.createdAt, z.fromAggregator = d, createdAt, fromAggregator
 	return true
 }
