Remove the row of an entry VM only if it is the one that the process wrote

Suspected by the review from reading: a removal that the store carries out late takes the row of the next process on the VM, which never writes it again. Nobody knows that VM then: no report reaches it, the directory does not list it, and limits are divided without it. Change: the removal requires the version of the row that the process wrote. The stand-in carries transactions out late, and answers with the version of the transaction itself. Evidence: TestLateRemoval failed before ("the row of entry-0, which runs, was removed").

--- a/internal/bench/chiveplatform/stop_test.go
+++ b/internal/bench/chiveplatform/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -9,6 +10,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/chiveyoke/chiveyoke/platform"
 )
 
 // acceptTime is how long after SIGTERM an entry VM of a site takes requests at least: nearly
@@ -149,3 +152,23 @@
 		t.Error("no request is served")
 	}
 }
+
+// TestLateRemoval guards against an entry VM that nobody knows: the store carries the removal of its
+// row at a stop out late, when the next process has written its own.
+func TestLateRemoval(t *testing.T) {
+	s := startSite(t, 12, 2, 1)
+	e := s.EntryVMs[0]
+	s.Store.SetFault(StoreLate)
+	e.Signal(syscall.SIGTERM)
+	if !e.WaitExit(10 * time.Second) {
+		t.Fatal("the process has not ended")
+	}
+	s.Store.SetFault(StoreHealthy)
+	if err := errors.Join(e.Start(), s.WaitReady(5*time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(lateDelay)
+	if _, ok := s.Store.Copy().tables[platform.TableSystem]["entry/"+e.Name]; !ok {
+		t.Errorf("the row of %s, which runs, was removed", e.Name)
+	}
+}
--- a/internal/bench/chiveplatform/store.go
+++ b/internal/bench/chiveplatform/store.go
@@ -33,6 +33,8 @@
 	StoreLossy
 	// StoreSlow delays every call by slowDelay.
 	StoreSlow
+	// StoreLate makes the store apply transactions after lateDelay and not answer them.
+	StoreLate
 )
 
 const (
@@ -42,6 +44,8 @@
 	lostAnswerFraction = 0.33
 	// slowDelay is the extra time that a slow store takes for a call.
 	slowDelay = time.Second
+	// lateDelay is the time after which a late store applies a transaction.
+	lateDelay = 4 * time.Second
 )
 
 // Store is an in-memory implementation of the platform's store and its HTTP
@@ -195,7 +199,7 @@
 	w = &eraWriter{ResponseWriter: w, store: s}
 	switch r.URL.Path {
 	case "/-/rows-tx":
-		s.transact(w, r, fault == StoreLossy && rand.Float64() < lostAnswerFraction)
+		s.transact(w, r, fault)
 	case "/-/rows-get":
 		s.get(w, r)
 	case "/-/rows-feed":
@@ -220,32 +224,32 @@
 	w.ResponseWriter.WriteHeader(status)
 }
 
-// transact serves a transaction. If dropAnswer is set, the transaction is applied and
-// the connection is aborted without an answer.
-func (s *Store) transact(w http.ResponseWriter, r *http.Request, dropAnswer bool) {
+// transact serves a transaction. A lossy store may apply it and abort the connection without an
+// answer, a late one always does, after lateDelay.
+func (s *Store) transact(w http.ResponseWriter, r *http.Request, fault StoreFault) {
 	var c platform.Transaction
 	if err := json.NewDecoder(r.Body).Decode(&c); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	status := s.apply(&c)
-	if dropAnswer {
+	if fault == StoreLate {
+		time.Sleep(lateDelay)
+	}
+	status, version := s.apply(&c)
+	if fault == StoreLate || fault == StoreLossy && rand.Float64() < lostAnswerFraction {
 		panic(http.ErrAbortHandler)
 	}
-	s.mu.Lock()
-	p := platform.Page{Version: s.version}
-	s.mu.Unlock()
-	writePage(w, status, &p)
+	writePage(w, status, &platform.Page{Version: version})
 }
 
 // apply applies a transaction if all its conditions hold, and returns the HTTP
-// status.
-func (s *Store) apply(c *platform.Transaction) int {
+// status and the version of the store after it.
+func (s *Store) apply(c *platform.Transaction) (status int, version int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, k := range c.Conditions {
 		if s.tables[k.Table][k.Key].Version != k.Version {
-			return http.StatusPreconditionFailed
+			return http.StatusPreconditionFailed, s.version
 		}
 	}
 	s.version++
@@ -255,7 +259,7 @@
 	for _, r := range c.Remove {
 		s.remove(r)
 	}
-	return http.StatusOK
+	return http.StatusOK, s.version
 }
 
 // get serves the rows of a table in a range of keys, sorted by key.
--- a/internal/run/chiveentry/daemon.go
+++ b/internal/run/chiveentry/daemon.go
@@ -120,10 +120,11 @@
 // Store reads and writes the platform's store.
 type Store interface {
 	chivefollow.Source
-	// Put writes a row. It overwrites an existing one.
-	Put(ctx context.Context, table, key string, value []byte) error
-	// Remove deletes a row.
-	Remove(ctx context.Context, table, key string) error
+	// Put writes a row and returns its version. It overwrites an existing one.
+	Put(ctx context.Context, table, key string, value []byte) (int64, error)
+	// Remove deletes a row if it still has a version. A removal that is not answered may be
+	// carried out late.
+	Remove(ctx context.Context, table, key string, version int64) error
 }
 
 // Front creates the HTTP handlers for callers and the platform.
@@ -169,6 +170,9 @@
 	leaving atomic.Bool
 	// registrationLost receives a value when the store has lost the row of this entry VM.
 	registrationLost chan struct{}
+	// rowVersion is the version of the row of this entry VM in the store, 0 before it was
+	// written.
+	rowVersion atomic.Int64
 	// peersKnownAt is the moment at which the registered entry VMs were first read
 	// from the store, 0 before.
 	peersKnownAt atomic.Int64
@@ -368,8 +372,9 @@
 		d.log.Warn("Requests were aborted.", "error", err)
 	}
 	_ = callers.Close()
+	// The next process on this VM writes the same row.
 	if err := d.writeStore(grace, func(ctx context.Context) error {
-		return d.deps.Store.Remove(ctx, d.settings.Tables.System, entryPrefix+d.settings.Entry.Name)
+		return d.deps.Store.Remove(ctx, d.settings.Tables.System, entryPrefix+d.settings.Entry.Name, d.rowVersion.Load())
 	}); err != nil {
 		d.log.Warn("Failed to remove the row of this entry VM.", "error", err)
 	}
--- a/internal/run/chiveentry/register.go
+++ b/internal/run/chiveentry/register.go
@@ -24,7 +24,11 @@
 	}
 	for ctx.Err() == nil {
 		err := d.writeStore(ctx, func(ctx context.Context) error {
-			return d.deps.Store.Put(ctx, d.settings.Tables.System, entryPrefix+d.settings.Entry.Name, value)
+			version, err := d.deps.Store.Put(ctx, d.settings.Tables.System, entryPrefix+d.settings.Entry.Name, value)
+			if err == nil {
+				d.rowVersion.Store(version)
+			}
+			return err
 		})
 		if err != nil {
 			d.log.Warn("Failed to register this entry VM.", "error", err)
