--- a/internal/run/chivemesh/mesh_test.go
+++ b/internal/run/chivemesh/mesh_test.go
@@ -47,9 +47,12 @@
 				continue
 			}
 			// The peer's report may take any time, which the receiver cannot know.
-			s.accept(&Header{
+			_, ignored := s.accept(&Header{
 				From: "b", Boot: 1, SentAt: now + skew, Echo: Reading{Boot: 7, At: sentAt}, EchoDelay: now.Sub(arrivedAt), ConfigVersion: 3, ConfigAge: now.Sub(confirmed),
 			}, 7, now)
+			if ignored != nil {
+				t.Fatalf("seed %d: %v", seed, ignored)
+			}
 			if got := s.confirmation(3); got > confirmed {
 				t.Fatalf("seed %d: relayed confirmation is %v later than the real one", seed, got.Sub(confirmed))
 			}
--- a/internal/run/chiverelay/broken_stream_test.go
+++ b/internal/run/chiverelay/broken_stream_test.go
@@ -17,11 +17,6 @@
 // ID stands for the id of the request, and closes the connection.
 func scriptedRunner(t *testing.T, first, further string) (addr string) {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
 	var asked atomic.Int32
 	serve := func(c net.Conn) {
 		defer func() { _ = c.Close() }()
@@ -35,16 +30,7 @@
 		}
 		_, _ = io.WriteString(c, strings.ReplaceAll(text, "ID", q.Header.Get("Id")))
 	}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c)
-		}
-	}()
-	return l.Addr().String()
+	return serveConns(t, serve).Addr().String()
 }
 
 // answerText returns an answer with an id and a signature, whose head has further lines.
--- a/internal/run/chiverelay/late_copy_test.go
+++ b/internal/run/chiverelay/late_copy_test.go
@@ -27,23 +27,30 @@
 }
 
 func newCopyRunner(t *testing.T, extra string, delay time.Duration) *copyRunner {
+	t.Helper()
+	r := &copyRunner{extra: extra, delay: delay}
+	r.listener = serveConns(t, r.serve)
+	return r
+}
+
+// serveConns serves each connection to the listener that it returns.
+func serveConns(t *testing.T, serve func(net.Conn)) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	r := &copyRunner{listener: l, extra: extra, delay: delay}
 	go func() {
 		for {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
-			go r.serve(c)
+			go serve(c)
 		}
 	}()
-	return r
+	return l
 }
 
 // serve answers the requests on a connection.
--- a/internal/run/chiverelay/late_refusal_test.go
+++ b/internal/run/chiverelay/late_refusal_test.go
@@ -25,21 +25,8 @@
 
 func newRefusingRunner(t *testing.T) *refusingRunner {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	r := &refusingRunner{listener: l, runs: map[string]int{}}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go r.serve(c)
-		}
-	}()
+	r := &refusingRunner{runs: map[string]int{}}
+	r.listener = serveConns(t, r.serve)
 	return r
 }
 
