--- a/internal/peer/chiveengine/chat.go
+++ b/internal/peer/chiveengine/chat.go
@@ -85,7 +85,7 @@
 
 // failed reports whether the event is the report of a failure, not a part of a response.
 func (c *Chunk) failed() bool {
-	return len(c.Error) > 0 || c.Choices == nil && c.Usage == nil
+	return len(c.Error) > 0 && string(c.Error) != "null" || c.Choices == nil && c.Usage == nil
 }
 
 // Choice is one of the alternative completions in a chunk. Only the first is used.
--- a/internal/peer/chiveengine/client_test.go
+++ b/internal/peer/chiveengine/client_test.go
@@ -93,6 +93,7 @@
 		complete   bool
 	}{
 		{"none", begin + "data: [DONE]\n\n", true},
+		{"error is null", begin + "data: {\"choices\":[],\"error\":null}\n\ndata: [DONE]\n\n", true},
 		{"error", begin + "data: {\"error\":{\"message\":\"out of memory\"}}\n\ndata: [DONE]\n\n", false},
 		{"error as text", begin + "data: {\"error\":\"out of memory\"}\n\ndata: [DONE]\n\n", false},
 		{"other object", begin + "data: {\"object\":\"error\",\"message\":\"out of memory\"}\n\ndata: [DONE]\n\n", false},
--- a/internal/policy/chivequota/quota_test.go
+++ b/internal/policy/chivequota/quota_test.go
@@ -57,9 +57,9 @@
 	for _, tt := range tests {
 		t.Run(tt.give, func(t *testing.T) {
 			r := rand.New(rand.NewPCG(7, 7))
-			budgets := make([]RetryBudget, tt.entries)
+			budgets := make([]retryBudget, tt.entries)
 			for i := range budgets {
-				budgets[i] = RetryBudget{Ratio: ratio, Slack: slack, Span: span}
+				budgets[i] = retryBudget{Ratio: ratio, Slack: slack, Span: span}
 			}
 			var requests, retries []time.Duration
 			for now := time.Duration(0); now < 60*time.Second; now += 5 * time.Millisecond {
@@ -69,10 +69,10 @@
 				}
 				// Requests arrive for 12 s out of every 20 s.
 				if now%(20*time.Second) < 12*time.Second {
-					budgets[entry].AddRequest(now)
+					budgets[entry].addRequest(now)
 					requests = append(requests, now)
 				}
-				if budgets[r.IntN(tt.entries)].AllowRetry(now, tt.entries) {
+				if budgets[r.IntN(tt.entries)].allow(now, retryShare{fraction: safetyFactor, sharers: tt.entries}) {
 					retries = append(retries, now)
 				}
 				if now%time.Second != 0 {
--- a/internal/policy/chivequota/retrybudget.go
+++ b/internal/policy/chivequota/retrybudget.go
@@ -6,10 +6,10 @@
 // covers requests that they have not yet reported to each other.
 const safetyFactor = 0.85
 
-// RetryBudget limits the retries that one entry VM sends to a service. In any
+// retryBudget limits the retries that one entry VM sends to a service. In any
 // window of length Span it allows Ratio retries per request plus an equal share of
 // Slack, both reduced by safetyFactor.
-type RetryBudget struct {
+type retryBudget struct {
 	// Ratio is the number of retries per request.
 	Ratio float64
 	// Slack is the number of further retries, shared equally by all entry VMs.
@@ -29,20 +29,14 @@
 	sharers  int
 }
 
-// AddRequest counts a request.
-func (b *RetryBudget) AddRequest(now time.Duration) {
+// addRequest counts a request.
+func (b *retryBudget) addRequest(now time.Duration) {
 	b.setSpans()
 	b.requests.Add(now, 1)
 }
 
-// AllowRetry reports whether a retry may be sent, and counts it if so. entries is
-// the number of entry VMs that share the budget.
-func (b *RetryBudget) AllowRetry(now time.Duration, entries int) bool {
-	return b.allow(now, retryShare{fraction: safetyFactor, sharers: entries})
-}
-
 // allow reports whether a retry may be sent, and counts it if so.
-func (b *RetryBudget) allow(now time.Duration, s retryShare) bool {
+func (b *retryBudget) allow(now time.Duration, s retryShare) bool {
 	if b.spent(now)+1 > b.limit(now, s) {
 		return false
 	}
@@ -51,20 +45,20 @@
 }
 
 // spent returns the number of retries in the window.
-func (b *RetryBudget) spent(now time.Duration) float64 {
+func (b *retryBudget) spent(now time.Duration) float64 {
 	b.setSpans()
 	return b.retries.Sum(now) + b.formerRetries.Sum(now)
 }
 
 // limit returns the number of retries that are allowed in the window.
-func (b *RetryBudget) limit(now time.Duration, s retryShare) float64 {
+func (b *retryBudget) limit(now time.Duration, s retryShare) float64 {
 	b.setSpans()
 	requests := b.requests.Sum(now) + b.formerRequests.Sum(now)
 	return s.fraction * (b.Ratio*requests + b.Slack/float64(max(1, s.sharers)))
 }
 
 // history returns the requests and retries in the window, with those of the process before.
-func (b *RetryBudget) history(now time.Duration) RetryHistory {
+func (b *retryBudget) history(now time.Duration) RetryHistory {
 	b.setSpans()
 	return RetryHistory{
 		Requests: b.requests.History(now).plus(b.formerRequests.History(now)),
@@ -73,7 +67,7 @@
 }
 
 // setSpans sets the spans of the windows, so that the zero value of the windows works.
-func (b *RetryBudget) setSpans() {
+func (b *retryBudget) setSpans() {
 	for _, w := range []*Window{&b.requests, &b.retries, &b.formerRequests, &b.formerRetries} {
 		w.Span = b.Span
 	}
--- a/internal/policy/chivequota/retrybudgets.go
+++ b/internal/policy/chivequota/retrybudgets.go
@@ -1,7 +1,7 @@
 package chivequota
 
 import (
-	"errors"
+	"slices"
 	"time"
 )
 
@@ -13,62 +13,18 @@
 	maxLosses     = 3
 )
 
-// RetryHistory holds the requests and the retries of a service in the window.
-type RetryHistory struct {
-	Requests History `cbor:"requests,omitempty"`
-	Retries  History `cbor:"retries,omitempty"`
-}
-
-// RetryUse is what an entry VM has used of the retry budgets, as it tells others.
-type RetryUse struct {
-	// Services holds the histories by service.
-	Services map[string]RetryHistory `cbor:"services,omitempty"`
-	// Sharers is the number of entry VMs that share the budgets.
-	Sharers int `cbor:"sharers"`
-}
-
-// Validate returns an error for a use that no entry VM tells.
-func (u *RetryUse) Validate() error {
-	if u.Sharers < 0 {
-		return errors.New("retry use has a negative number of sharers")
-	}
-	for _, h := range u.Services {
-		if err := errors.Join(h.Requests.Validate(), h.Retries.Validate()); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// FormerUse is what another entry VM remembers of the process that ran before this one on the
-// same VM.
-type FormerUse struct {
-	RetryUse
-	// Age is the time since that process last told its use. It is the span of the window if
-	// the other one has listened for so long and heard of no such process.
-	Age time.Duration `cbor:"age"`
-}
-
-// Validate returns an error for a use that no entry VM remembers.
-func (f *FormerUse) Validate() error {
-	if f.Age < 0 {
-		return errors.New("former retry use has a negative age")
-	}
-	return f.RetryUse.Validate()
-}
-
 // RetryBudgets holds the retry budgets of all services at one entry VM. The budgets outlive
 // the process: the use of a process that ran before on the same VM counts as its own. Until it
 // knows that, or the window has passed, a process takes only startFraction. Moments are durations
 // since any fixed one.
 type RetryBudgets struct {
-	// Ratio, Slack and Span are those of each RetryBudget.
+	// Ratio, Slack and Span are those of each retryBudget.
 	Ratio, Slack float64
 	Span         time.Duration
 	// Started is when the process started.
 	Started time.Duration
 
-	budgets map[string]*RetryBudget
+	budgets map[string]*retryBudget
 	// lastRegistered holds when each entry VM was registered last, by name.
 	lastRegistered map[string]time.Duration
 	registered     []string
@@ -83,7 +39,7 @@
 	if b.lastRegistered == nil {
 		b.lastRegistered = map[string]time.Duration{}
 	}
-	for _, name := range append(b.registered, names...) {
+	for _, name := range slices.Concat(b.registered, names) {
 		b.lastRegistered[name] = now
 	}
 	b.registered = names
@@ -114,7 +70,7 @@
 
 // AddRequest counts a request to a service.
 func (b *RetryBudgets) AddRequest(service string, now time.Duration) {
-	b.budget(service).AddRequest(now)
+	b.budget(service).addRequest(now)
 }
 
 // AllowRetry reports whether a retry may be sent to a service, and counts it if so.
@@ -179,13 +135,13 @@
 }
 
 // budget returns the budget of a service, created on first use.
-func (b *RetryBudgets) budget(service string) *RetryBudget {
+func (b *RetryBudgets) budget(service string) *retryBudget {
 	budget := b.budgets[service]
 	if budget == nil {
 		if b.budgets == nil {
-			b.budgets = map[string]*RetryBudget{}
+			b.budgets = map[string]*retryBudget{}
 		}
-		budget = &RetryBudget{Ratio: b.Ratio, Slack: b.Slack, Span: b.Span}
+		budget = &retryBudget{Ratio: b.Ratio, Slack: b.Slack, Span: b.Span}
 		b.budgets[service] = budget
 	}
 	return budget
--- a/internal/run/chiveentry/daemon.go
+++ b/internal/run/chiveentry/daemon.go
@@ -226,7 +226,7 @@
 			Span: settings.RetryLimits.RetryWindow, Use: runners.RetryUse,
 			OnFormer: func(f *chivequota.FormerUse) {
 				if runners.SetFormerRetries(f) {
-					d.log.Info("Retries of the process before are known.", "age", f.Age, "services", f.Services)
+					d.log.Info("Retries of the process before are known.", "age", f.Age, "services", len(f.Services), "sharers", f.Sharers)
 				}
 			},
 		},
