Count a call that no entry VM is ready for as not served

Trace: the store answers nobody for 4 s. Keys are trusted for 4.6 s after the call that confirmed the configuration was sent, and that was 0.5 s before the outage; calls that are on their way when the store returns get no answer and are made again after up to 1.25 s. In the trace nobody was ready for 0.32 s, from 0.15 to 0.47 s after the return. Refusing keys then is required (strict revocation); the test did not expect it. Change: such a call counts as failed under the test's bound of one in fifty, instead of a panic. That the repetitions are 1.2 s apart while the store is silent stays open: docs/incidents/drain-unanswered-call.md.

--- a/internal/bench/chiveplatform/limit_test.go
+++ b/internal/bench/chiveplatform/limit_test.go
@@ -123,6 +123,11 @@
 			case <-tick.C:
 			}
 			list := *ready.Load()
+			if len(list) == 0 {
+				sent.Add(1)
+				failed.Add(1)
+				continue
+			}
 			addr := list[rng.IntN(len(list))]
 			senders.Go(func() {
 				sent.Add(1)
