Set the spans of restored windows as all others are set

Cause: read once more: SetFormer set two spans by hand beside setSpans, which sets all four. Behaviour stays as it is. Result: lint is clean; the tests of chivequota, chivemesh and chiveentry pass.

--- a/internal/policy/chivequota/retrybudgets.go
+++ b/internal/policy/chivequota/retrybudgets.go
@@ -91,7 +91,7 @@
 	}
 	for service, h := range f.Services {
 		budget := b.budget(service)
-		budget.formerRequests.Span, budget.formerRetries.Span = b.Span, b.Span
+		budget.setSpans()
 		budget.formerRequests.restore(h.Requests, b.formerAt, now)
 		budget.formerRetries.restore(h.Retries, b.formerAt, now)
 	}
