Decide what clients may hold at all ports of an entry VM before it is kept

Seen by callers: none, since the process of the entry VM had ended. Clients sent heads over the limit or without an end; the process ran out of memory.

Cause: a request counted from the moment at which its head had been parsed and handed to the relay. What a connection held before that was counted by nothing, on no port, and the other four ports counted nothing at all. net/http bounds the bytes of a head, not what they become: a line of a few bytes becomes an entry of a map with its key and its list, up to some 15 times its bytes.

Change: chivedoor, a listener whose connections share one ledger for the process. A connection is charged when it is accepted; each read of a head is charged, by its bytes and its lines, before net/http gets it; a body is charged as it is read. When the part for connections is spent, connections are closed as chivebudget.CloseFirst says, at the port that uses more than its guarantee. Once a request has arrived whole its count moves to the relay, which admits or refuses it as before (503, not run): from then on its connection is not closed for others. A request that arrives as an idle connection is closed is never passed on, since both are decided under one lock. Times and sizes of heads are those of before, kept by the door instead of net/http. Receive buffers have a fixed size.

TestEntryVM starts the real process with memory-mb 128 and 250 clients, 15 kinds of bytes at each of five ports; bound: 128 MB of peak memory and unread bytes together, one ordinary answer at each port afterwards, while the clients still hold their connections.

--- a/internal/bench/chiveplatform/site.go
+++ b/internal/bench/chiveplatform/site.go
@@ -56,6 +56,9 @@
 	Dir string
 	// MemoryMB is the limit on the memory of entry VMs in their settings, in MB; 0 for none.
 	MemoryMB int
+	// MaxFDs is the limit on the descriptors of entry VMs in their settings, 0 for none.
+	// FileLimit is the limit of their processes on open files, 0 for that of this process.
+	MaxFDs, FileLimit int
 
 	// program is the path of the entry VM daemon.
 	program string
@@ -266,7 +269,7 @@
 	if err != nil {
 		return err
 	}
-	cmd, done := exec.Command(e.site.program), make(chan struct{})
+	cmd, done := limitedCommand(e.site.program, e.site.FileLimit), make(chan struct{})
 	cmd.Env = append(os.Environ(), "CHIVEYOKE_NODE_FILE="+settingsPath)
 	cmd.Stdout, cmd.Stderr = logFile, logFile
 	if err := cmd.Start(); err != nil {
@@ -283,14 +286,19 @@
 	return nil
 }
 
+// PID returns the ID of the process that was started last.
+func (e *EntryVM) PID() int {
+	cmd, _ := e.current()
+	return cmd.Process.Pid
+}
+
 // settings returns the settings file of the entry VM.
 func (e *EntryVM) settings() map[string]any {
-	address := func(port int) string { return fmt.Sprintf("%s:%d", e.IP, port) }
 	return map[string]any{
 		"node-name": e.Name, "ip": e.IP, "zone": e.Zone,
-		"listen":         map[string]any{"frontend": address(callerPort), "readiness": address(readinessPort), "directory": address(directoryPort)},
+		"listen":         map[string]any{"frontend": e.CallerAddress(), "readiness": e.address(readinessPort), "directory": e.address(directoryPort)},
 		"internal-ports": []int{internalPortMin, internalPortMax},
-		"limits":         map[string]any{"memory-mb": e.site.MemoryMB},
+		"limits":         map[string]any{"memory-mb": e.site.MemoryMB, "max-fds": e.site.MaxFDs},
 		"bounds": map[string]any{
 			"grace-s": shutdownGrace.Seconds(), "revoke-ms": revocationBound.Milliseconds(), "retry-ratio": 0.2, "retry-window-s": 10, "retry-slack": 90,
 		},
@@ -469,9 +477,7 @@
 }
 
 // CallerAddress returns the address at which the entry VM serves callers.
-func (e *EntryVM) CallerAddress() string {
-	return fmt.Sprintf("%s:%d", e.IP, callerPort)
-}
+func (e *EntryVM) CallerAddress() string { return e.address(callerPort) }
 
 // entryAt returns the name of the entry VM that serves callers at an address.
 func (s *Site) entryAt(addr string) string {
--- a/internal/run/chiveentry/daemon.go
+++ b/internal/run/chiveentry/daemon.go
@@ -11,7 +11,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"runtime/debug"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -25,6 +24,8 @@
 	"github.com/chiveyoke/chiveyoke/internal/policy/chivecap"
 	"github.com/chiveyoke/chiveyoke/internal/policy/chivequota"
 	"github.com/chiveyoke/chiveyoke/internal/run/chivebalance"
+	"github.com/chiveyoke/chiveyoke/internal/run/chivedaemon"
+	"github.com/chiveyoke/chiveyoke/internal/run/chivedoor"
 	"github.com/chiveyoke/chiveyoke/internal/run/chivehub"
 	"github.com/chiveyoke/chiveyoke/internal/run/chivelog"
 	"github.com/chiveyoke/chiveyoke/internal/run/chivemesh"
@@ -42,13 +43,6 @@
 var Error = errs.Class("entry")
 
 const (
-	// readHeaderTimeout bounds reading the header of a request.
-	readHeaderTimeout = 5 * time.Second
-	// maxHeaderBytes bounds the header of a request.
-	maxHeaderBytes = 256 << 10
-	// idleTimeout is how long the idle connection of a caller is kept. Callers stop
-	// reusing theirs earlier.
-	idleTimeout = 60 * time.Second
 	// watchTimeout is how long a call to the store waits for a change of the system's table.
 	// Those for the tables of operators and runners wait for chivehub.LongPollWait, since an
 	// answer that is lost is missed only after the wait.
@@ -83,10 +77,6 @@
 	// suspensionTime is the time between two runs of maintain above which the process
 	// counts as having been suspended.
 	suspensionTime = 1500 * time.Millisecond
-	// The heap is collected more often once the process uses heapLimitNumerator of
-	// heapLimitDenominator parts of its memory limit; the rest is for what the runtime does
-	// not count.
-	heapLimitNumerator, heapLimitDenominator = 3, 4
 	// shutdownMargin is how long before the end of its grace period a process stops
 	// waiting for running requests.
 	shutdownMargin = 400 * time.Millisecond
@@ -163,8 +153,10 @@
 	mesh      *chivemesh.Mesh
 	source    *chivehub.Source
 	relay     *chiverelay.Relay
-	balancer  *chivebalance.Balancer
-	meter     *chivemeter.Meter
+	// doors counts the connections of clients at all ports.
+	doors    chivedoor.Ledger
+	balancer *chivebalance.Balancer
+	meter    *chivemeter.Meter
 	// callerListener accepts the connections of callers, callerConns knows them.
 	callerListener net.Listener
 	callerConns    callerConns
@@ -242,6 +234,7 @@
 		Memory:  chiverelay.Memory{Budget: chivebudget.ForMemory(settings.MemoryLimit)},
 		Crashes: chiverelay.CrashGuard{OnCrash: func() { d.mesh.SendNow() }},
 	}
+	d.doors.Budget, d.doors.Log = d.relay.Memory.Budget, d.log.WithPrefix("doors")
 	return d
 }
 
@@ -264,9 +257,8 @@
 	defer endLogging()
 	callers := &http.Server{
 		Handler: d.callerConns.handler(d.relay), ConnState: d.callerConns.note,
-		ConnContext:       chiverelay.WithConn,
-		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: d.log.WithPrefix("http").StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
+		ConnContext: chiverelay.WithConn,
+		ErrorLog:    d.log.WithPrefix("http").StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 	}
 	var group run.Group
 	interrupt := func(error) { cancel() }
@@ -293,8 +285,8 @@
 		return err
 	}
 	if d.settings.MemoryLimit > 0 {
-		debug.SetMemoryLimit(d.settings.MemoryLimit / heapLimitDenominator * heapLimitNumerator)
-		d.log.Info("Memory is limited.", "limit", d.settings.MemoryLimit, "callers", d.relay.Memory.Budget.Total)
+		chivedaemon.LimitHeap(d.settings.MemoryLimit)
+		d.log.Info("Memory is limited.", "limit", d.settings.MemoryLimit, "callers", d.relay.Memory.Budget.Total, "connections", d.relay.Memory.Budget.Connections())
 	}
 	d.log.Info("Started.", "zone", d.settings.Entry.Zone, "callers", d.settings.Entry.CallerAddr, "boot", d.settings.Entry.Boot)
 	return group.Run()
@@ -336,6 +328,7 @@
 // maintainOnce closes idle connections, and prunes and adjusts the state of runners.
 func (d *Daemon) maintainOnce() {
 	fleet := d.tracker.Fleet()
+	d.doors.Sweep()
 	d.relay.Pool.CloseExpired()
 	d.relay.State.Prune(fleet)
 	d.relay.State.AdjustLimits(fleet)
--- a/internal/run/chiveentry/servers.go
+++ b/internal/run/chiveentry/servers.go
@@ -10,25 +10,40 @@
 	"github.com/oklog/run"
 
 	"github.com/chiveyoke/chiveyoke/internal/run/chivedaemon"
+	"github.com/chiveyoke/chiveyoke/internal/run/chivedoor"
 	"github.com/chiveyoke/chiveyoke/internal/state/chiveclock"
 )
 
+const (
+	// callerWeight is the weight of the port for callers when the budget for connections is divided;
+	// that of the other ports is 1.
+	callerWeight = 4
+	// answerTime is how long a request at another port may take.
+	answerTime = 5 * time.Second
+)
+
 // addServers opens the listeners and adds the HTTP servers to a group.
 func (d *Daemon) addServers(base context.Context, group *run.Group, callers *http.Server) error {
-	newServer := func(h http.Handler) *http.Server {
-		return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
-	}
-	for _, s := range []struct {
+	newServer := func(h http.Handler) *http.Server { return &http.Server{Handler: h} }
+	servers := []struct {
 		addr   string
 		server *http.Server
+		door   *chivedoor.Door
 	}{
-		{d.settings.Entry.CallerAddr, callers},
-		{d.settings.DirectoryAddress, newServer(d.deps.Front.Directory(d.resolve))},
-		{d.settings.ReadinessAddress, newServer(d.deps.Front.Readiness(d.ready))},
-		{d.settings.Entry.ReplicaAddr, newServer(d.source.Handler())},
-		{d.settings.MetricsAddress, newServer(chivedaemon.NewAdminRouter(d.state, d.meter))},
-	} {
-		l, err := net.Listen("tcp4", s.addr)
+		{d.settings.Entry.CallerAddr, callers, &chivedoor.Door{Name: "callers", Weight: callerWeight}},
+		{d.settings.DirectoryAddress, newServer(d.deps.Front.Directory(d.resolve)), &chivedoor.Door{Name: "directory"}},
+		{d.settings.ReadinessAddress, newServer(d.deps.Front.Readiness(d.ready)), &chivedoor.Door{Name: "readiness"}},
+		{d.settings.Entry.ReplicaAddr, newServer(d.source.Handler()), &chivedoor.Door{Name: "replicas"}},
+		{d.settings.MetricsAddress, newServer(chivedaemon.NewAdminRouter(d.state, d.meter)), &chivedoor.Door{Name: "metrics"}},
+	}
+	for _, s := range servers {
+		if s.server != callers {
+			s.door.Weight, s.door.AnswerTime = 1, answerTime
+		}
+		d.doors.Add(s.door).Prepare(s.server)
+	}
+	for _, s := range servers {
+		l, err := s.door.Listen("tcp4", s.addr)
 		if err != nil {
 			return Error.Wrap(err)
 		}
--- a/internal/run/chivehub/replica.go
+++ b/internal/run/chivehub/replica.go
@@ -13,6 +13,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/labstack/echo/v4/middleware"
 
+	"github.com/chiveyoke/chiveyoke/internal/run/chivedoor"
 	"github.com/chiveyoke/chiveyoke/internal/state/chiveclock"
 	"github.com/chiveyoke/chiveyoke/internal/state/chivefollow"
 )
@@ -33,6 +34,8 @@
 	// minCompressedSize is the size in bytes from which a response is compressed. A
 	// smaller one fits into one network packet.
 	minCompressedSize = 1400
+	// compressorSize is the memory of a compressor in bytes.
+	compressorSize = 700 << 10
 )
 
 // ReplicaPage is a hub's response: the rows of a table, or those changed after a
@@ -94,11 +97,23 @@
 		if err != nil {
 			return Error.Wrap(err)
 		}
+		if conn := chivedoor.ConnOf(c.Request().Context()); conn != nil && !conn.Hold(pageSize(len(data))) {
+			return c.NoContent(http.StatusServiceUnavailable)
+		}
 		return c.Blob(http.StatusOK, "application/cbor", data)
 	})
 	return e
 }
 
+// pageSize returns the memory that a page of a number of bytes takes as it is sent.
+func pageSize(encoded int) int64 {
+	size := int64(2 * encoded)
+	if encoded >= minCompressedSize {
+		size += compressorSize
+	}
+	return size
+}
+
 // Client implements Replicas over HTTP.
 type Client struct {
 	http http.Client
--- a/internal/run/chiverelay/admit.go
+++ b/internal/run/chiverelay/admit.go
@@ -132,6 +132,14 @@
 	}
 	x.setReadDeadline(time.Time{})
 	x.body = body
+	fits, err := x.holding.begin()
+	if err != nil {
+		x.cause = err.Error()
+		panic(http.ErrAbortHandler)
+	}
+	if !fits {
+		return x.refuse(causeNoMemory)
+	}
 	return true
 }
 
--- a/internal/run/chiverelay/memory.go
+++ b/internal/run/chiverelay/memory.go
@@ -11,6 +11,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/chiveyoke/chiveyoke/internal/policy/chivebudget"
+	"github.com/chiveyoke/chiveyoke/internal/run/chivedoor"
 	"github.com/chiveyoke/chiveyoke/internal/state/chiveclock"
 )
 
@@ -18,6 +19,9 @@
 // answer, in bytes: stacks, buffers of two connections, and headers.
 const requestSize = 32 << 10
 
+// ordinaryHeadSize is what requestSize has for the head of a request, in bytes.
+const ordinaryHeadSize = 8 << 10
+
 // Memory counts the bytes that a process holds for its callers: bodies, buffered answers and
 // events, and requestSize for each request. The zero value sets no limit but on answers.
 type Memory struct {
@@ -70,8 +74,11 @@
 	memory *Memory
 	log    *log.Logger
 	id     string
-	// conn is the connection of the caller, nil if it is not known.
-	conn net.Conn
+	// conn is the connection of the caller, nil if it is not known. arriving is the same if it came
+	// through a door, which counts the request until begin; bodySize is the memory of its body.
+	conn     net.Conn
+	arriving *chivedoor.Conn
+	bodySize int64
 	// interrupt ends a write to the caller, cancel the work on its request; cancel is set
 	// before the caller can be slow.
 	interrupt func()
@@ -95,7 +102,7 @@
 func (x *exchange) newHolding() *holding {
 	h := &holding{memory: &x.relay.Memory, log: x.relay.Log}
 	// It is missing where the relay is not served with WithConn.
-	h.conn = ConnOf(x.r.Context())
+	h.conn, h.arriving = ConnOf(x.r.Context()), chivedoor.ConnOf(x.r.Context())
 	h.interrupt = func() {
 		// Only the writers of tests do not support deadlines.
 		_ = http.NewResponseController(x.w).SetWriteDeadline(time.Unix(1, 0))
@@ -111,7 +118,9 @@
 		m.refusals.Add(1)
 		return false
 	}
-	h.add(requestSize)
+	if h.arriving == nil {
+		h.add(requestSize)
+	}
 	return true
 }
 
@@ -119,7 +128,11 @@
 // refusal, if they do not fit.
 func (h *holding) addBody(n int64) bool {
 	m := h.memory
-	if !m.Budget.Admits(m.held.Load(), n) {
+	if h.arriving != nil && h.arriving.Hold(n) {
+		h.bodySize += n
+		return true
+	}
+	if h.arriving != nil || !m.Budget.Admits(m.held.Load(), n) {
 		m.refusals.Add(1)
 		return false
 	}
@@ -127,6 +140,27 @@
 	return true
 }
 
+// begin takes over the count of a request that has arrived whole from the door of its connection. It
+// returns false, and counts a refusal, if it does not fit, and an error if the connection was closed.
+func (h *holding) begin() (fits bool, err error) {
+	if h.arriving == nil {
+		return true, nil
+	}
+	m := h.memory
+	held, ok := h.arriving.Begin()
+	if !ok {
+		return false, errCut
+	}
+	// The head is copied for the runner.
+	n := requestSize + h.bodySize + max(0, 2*(held-h.bodySize)-ordinaryHeadSize)
+	if !m.Budget.Admits(m.held.Load(), n) {
+		m.refusals.Add(1)
+		return false, nil
+	}
+	h.add(n)
+	return true, nil
+}
+
 // add counts n bytes, or gives them back if n is negative.
 func (h *holding) add(n int64) {
 	if h.memory.Budget.Limited() {
@@ -262,7 +296,7 @@
 // the kernel holds for it is discarded, too.
 func (h *holding) cutCaller() {
 	h.cut.Store(true)
-	if tcp, ok := h.conn.(*net.TCPConn); ok {
+	if tcp, ok := h.conn.(interface{ SetLinger(sec int) error }); ok {
 		// It fails only if the connection is closed already.
 		_ = tcp.SetLinger(0)
 	}
