Keep descriptors for others from clients that keep connections

Seen: with more kept connections than descriptors no ordinary request of any port was answered (ulimit -n 256, 400 connections with one answer each), also where only the directory was filled: accept fails for everybody, and so do calls to runners and the store.

Cause: no count of connections. Change: the ledger of the ports has a number of connections, two thirds of the descriptors that are left after 64 for the process itself, by limits.max-fds without the platform's 200 and by the limit of the system; beyond it the connection is closed that has used most of its time for what it is doing, at the port above its guarantee. One with a request on it is never closed.

--- a/cmd/chiveyoke-entry/main.go
+++ b/cmd/chiveyoke-entry/main.go
@@ -9,6 +9,7 @@
 
 	"github.com/chiveyoke/chiveyoke/internal/peer/chivescout"
 	"github.com/chiveyoke/chiveyoke/internal/run/chivedaemon"
+	"github.com/chiveyoke/chiveyoke/internal/run/chivedoor"
 	"github.com/chiveyoke/chiveyoke/internal/run/chiveentry"
 	"github.com/chiveyoke/chiveyoke/internal/run/chiverelay"
 	"github.com/chiveyoke/chiveyoke/internal/state/chivefleet"
@@ -52,6 +53,7 @@
 		DirectoryAddress:  s.Listen.Directory,
 		MetricsAddress:    internal(portMetrics),
 		MemoryLimit:       s.Limits.MemoryLimit(),
+		MaxFiles:          chivedoor.FileLimit(s.Limits.FileLimit()),
 		GracePeriod:       s.Bounds.GracePeriod(),
 		KeyRevocationTime: s.Bounds.KeyRevocationTime(),
 		RetryLimits: chiverelay.RetryLimits{
--- a/internal/bench/chivecrowd/entry_test.go
+++ b/internal/bench/chivecrowd/entry_test.go
@@ -165,3 +165,21 @@
 		}
 	}
 }
+
+// TestEntryVMOutOfDescriptors guards against clients that take all descriptors of an entry VM with
+// connections on which they send little, at each of its ports.
+func TestEntryVMOutOfDescriptors(t *testing.T) {
+	for i, name := range []string{chiveplatform.PortCallers, "directory", "readiness", "replicas", "metrics"} {
+		for _, k := range Idle() {
+			t.Run(name+"/"+k.Name, func(t *testing.T) {
+				_, e := startEntry(t, fileLimit)
+				crowd := Gather(idleSize, entryDoors(e)[i], k)
+				defer crowd.Close()
+				t.Logf("%d clients have sent all, %d were stalled, %d ended, %d refused", crowd.Sent, crowd.Stalled, crowd.Ended, crowd.Refused)
+				checkEntry(t, e, fileLimit)
+				askEntry(t, e)
+				checkEntry(t, e, fileLimit)
+			})
+		}
+	}
+}
--- a/internal/run/chiveentry/daemon.go
+++ b/internal/run/chiveentry/daemon.go
@@ -96,6 +96,8 @@
 	MetricsAddress string
 	// MemoryLimit is the memory that the process may use in bytes, 0 if it is not limited.
 	MemoryLimit int64
+	// MaxFiles is the number of descriptors that the process may use, 0 if it is not limited.
+	MaxFiles int64
 	// GracePeriod is the time from SIGTERM to SIGKILL.
 	GracePeriod time.Duration
 	// KeyRevocationTime is how long a key may still be used after its revocation.
@@ -234,7 +236,8 @@
 		Memory:  chiverelay.Memory{Budget: chivebudget.ForMemory(settings.MemoryLimit)},
 		Crashes: chiverelay.CrashGuard{OnCrash: func() { d.mesh.SendNow() }},
 	}
-	d.doors.Budget, d.doors.Log = d.relay.Memory.Budget, d.log.WithPrefix("doors")
+	d.doors.Budget, d.doors.MaxConns = d.relay.Memory.Budget, chivedoor.MaxConnsOf(settings.MaxFiles)
+	d.doors.Log = d.log.WithPrefix("doors")
 	return d
 }
 
@@ -288,6 +291,9 @@
 		chivedaemon.LimitHeap(d.settings.MemoryLimit)
 		d.log.Info("Memory is limited.", "limit", d.settings.MemoryLimit, "callers", d.relay.Memory.Budget.Total, "connections", d.relay.Memory.Budget.Connections())
 	}
+	if d.doors.MaxConns > 0 {
+		d.log.Info("Connections are limited.", "files", d.settings.MaxFiles, "connections", d.doors.MaxConns)
+	}
 	d.log.Info("Started.", "zone", d.settings.Entry.Zone, "callers", d.settings.Entry.CallerAddr, "boot", d.settings.Entry.Boot)
 	return group.Run()
 }
