Keep to the limits on heads and idle connections that operators state

Seen by reading: of the limits of a configuration only max-body-bytes was read. A head was bounded by 256 KiB and 5 s, an idle connection by 60 s, whatever max-header-bytes, header-timeout-ms and idle-timeout-ms say; with larger ones a client inside them got 431 or met a closed connection.

--- a/internal/run/chiveentry/daemon.go
+++ b/internal/run/chiveentry/daemon.go
@@ -237,7 +237,7 @@
 		Crashes: chiverelay.CrashGuard{OnCrash: func() { d.mesh.SendNow() }},
 	}
 	d.doors.Budget, d.doors.MaxConns = d.relay.Memory.Budget, chivedoor.MaxConnsOf(settings.MaxFiles)
-	d.doors.Log = d.log.WithPrefix("doors")
+	d.doors.Limits, d.doors.Log = d.limits, d.log.WithPrefix("doors")
 	return d
 }
 
--- a/internal/run/chiveentry/servers.go
+++ b/internal/run/chiveentry/servers.go
@@ -22,6 +22,15 @@
 	answerTime = 5 * time.Second
 )
 
+// limits returns what callers keep to by the configuration.
+func (d *Daemon) limits() chivedoor.Limits {
+	config := d.fleet().Config
+	if config == nil {
+		return chivedoor.Limits{}
+	}
+	return chivedoor.Limits{MaxHead: config.MaxHeadBytes, HeadTimeout: config.HeadTimeout, IdleTimeout: config.IdleTimeout}
+}
+
 // addServers opens the listeners and adds the HTTP servers to a group.
 func (d *Daemon) addServers(base context.Context, group *run.Group, callers *http.Server) error {
 	newServer := func(h http.Handler) *http.Server { return &http.Server{Handler: h} }
--- a/internal/state/chivefleet/config.go
+++ b/internal/state/chivefleet/config.go
@@ -24,6 +24,10 @@
 	Workspaces []Workspace
 	// MaxBodyBytes is the largest allowed request body; 0 means the default of 1 GiB.
 	MaxBodyBytes int64
+	// MaxHeadBytes is the size of the largest head of a request, HeadTimeout how long a head may
+	// take, and IdleTimeout how long a connection may be idle; each is 0 if it is not stated.
+	MaxHeadBytes             int64
+	HeadTimeout, IdleTimeout time.Duration
 
 	routesByHost    map[string][]*Route
 	workspacesByKey map[string]*Workspace
