Answer a request that is turned away a second later at most

Cause: net/http reads what is left of a body before it writes the answer, and the time for reading was that of the request. Change: it ends a second after the request was turned away.

TestRefusalBeforeTheBody fails without the change (no answer within 5 s in all three cases) and passes with it.

--- a/internal/run/chiverelay/admit.go
+++ b/internal/run/chiverelay/admit.go
@@ -146,6 +146,15 @@
 // setReadDeadline sets the time until which the body may arrive, or none if it is zero. It
 // also holds after a response, when the server reads what is left of the body.
 func (x *exchange) setReadDeadline(t time.Time) {
+	x.readDeadline = t
 	// Only the writers of tests do not support deadlines.
 	_ = http.NewResponseController(x.w).SetReadDeadline(t)
 }
+
+// shortenReadDeadline ends the reading of the body of a request that was turned away, since its
+// caller gets the response only afterwards.
+func (x *exchange) shortenReadDeadline() {
+	if t := time.Now().Add(refusalReadTime); x.readDeadline.IsZero() || x.readDeadline.After(t) {
+		x.setReadDeadline(t)
+	}
+}
--- a/internal/run/chiverelay/relay.go
+++ b/internal/run/chiverelay/relay.go
@@ -34,6 +34,9 @@
 	// minAttemptTime is the shortest time until the deadline at which a request is
 	// still sent to a runner.
 	minAttemptTime = 15 * time.Millisecond
+	// refusalReadTime is how long the server reads the body of a request that is turned away before
+	// the caller gets its answer.
+	refusalReadTime = time.Second
 )
 
 // Relay is an HTTP handler that forwards the requests of callers to runners.
@@ -80,6 +83,8 @@
 	defer x.end()
 	if x.admit() {
 		x.forward()
+	} else {
+		x.shortenReadDeadline()
 	}
 	x.holding.release()
 	if x.holding.cut.Load() {
@@ -98,6 +103,8 @@
 	deadline chiveclock.Moment
 	request  Request
 	body     []byte
+	// readDeadline is the time until which the body may arrive.
+	readDeadline time.Time
 	// holding counts the memory that is held for the request.
 	holding *holding
 	// fingerprint is that of the request, set once it is admitted.
