Decide what clients may hold at the port of a scout before it is kept

Change: a scout reads limits.memory-mb and limits.max-fds, its port has a ledger and a time for answers, and each byte of a body counts as the 25 bytes that it may become.

--- a/cmd/chiveyoke-scout/main.go
+++ b/cmd/chiveyoke-scout/main.go
@@ -13,13 +13,15 @@
 	"time"
 
 	"github.com/chiveyoke/chiveyoke/internal/peer/chivescout"
+	"github.com/chiveyoke/chiveyoke/internal/policy/chivebudget"
 	"github.com/chiveyoke/chiveyoke/internal/run/chivedaemon"
+	"github.com/chiveyoke/chiveyoke/internal/run/chivedoor"
 	"github.com/chiveyoke/chiveyoke/platform"
 )
 
 const (
-	// headerTimeout is the maximum time to read a request's header.
-	headerTimeout = 5 * time.Second
+	// answerTime is how long a request may take. Those of entry VMs are given up earlier.
+	answerTime = 10 * time.Second
 	// shutdownTimeout is the maximum time to wait for requests at shutdown.
 	shutdownTimeout = time.Second
 )
@@ -34,9 +36,18 @@
 		return err
 	}
 	scout := &chivescout.Server{Engine: platform.NewEngine(), Address: s.RunnerAddress}
-	server := &http.Server{
-		Addr: net.JoinHostPort(s.IP, strconv.Itoa(s.InternalPorts[0])), Handler: scout.Handler(), ReadHeaderTimeout: headerTimeout,
+	chivedaemon.LimitHeap(s.Limits.MemoryLimit())
+	doors := &chivedoor.Ledger{
+		Budget: chivebudget.ForMemory(s.Limits.MemoryLimit()), MaxConns: chivedoor.MaxConnsOf(chivedoor.FileLimit(s.Limits.FileLimit())),
 	}
+	door := doors.Add(&chivedoor.Door{Name: "orders", Weight: 1, AnswerTime: answerTime})
+	server := door.Prepare(&http.Server{Handler: chivedoor.CountBodies(scout.Handler(), chivescout.BodyFactor)})
+	listener, err := door.Listen("tcp", net.JoinHostPort(s.IP, strconv.Itoa(s.InternalPorts[0])))
+	if err != nil {
+		return err
+	}
+	// It ends with the context.
+	go func() { _ = doors.Run(ctx) }()
 	context.AfterFunc(ctx, func() {
 		shutdownCtx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 		defer cancel()
@@ -44,7 +55,7 @@
 			_, _ = fmt.Fprintln(os.Stderr, "chiveyoke-scout: requests were cut off at shutdown:", err)
 		}
 	})
-	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
--- a/internal/peer/chivescout/server.go
+++ b/internal/peer/chivescout/server.go
@@ -14,6 +14,10 @@
 // maxRequestBytes is the size limit of a request body.
 const maxRequestBytes = 4 << 20
 
+// BodyFactor is the memory in bytes that a byte of a request body may become: an empty list takes one
+// byte, and three words once it is decoded.
+const BodyFactor = 25
+
 // Server serves the requests of entry VMs by calling the runner on its own VM.
 type Server struct {
 	// Engine calls the runner.
