Decide what clients may hold at the ports of gateways and agents before it is kept

Gateways bounded heads at the port for callers only (64 KiB), and read bodies of 1 MB for any number of callers; their admin port and that of agents had no bound.

Change: a setting memory (MB; without it the memory of the machine) for gateways and agents; their ports have ledgers. At a gateway a request counts from the end of its body in a part of its own and is refused with 503, not run, where that is spent.

--- a/internal/run/chiveagent/run.go
+++ b/internal/run/chiveagent/run.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/oklog/run"
 
+	"github.com/chiveyoke/chiveyoke/internal/policy/chivebudget"
 	"github.com/chiveyoke/chiveyoke/internal/run/chivedaemon"
+	"github.com/chiveyoke/chiveyoke/internal/run/chivedoor"
 	"github.com/chiveyoke/chiveyoke/internal/run/chivemeter"
 )
 
@@ -19,10 +22,18 @@
 	var g run.Group
 	g.Add(func() error { return a.waitAndDrain(ctx) }, func(error) { stop() })
 	a.addActors(base, cancel, &g)
-	chivedaemon.AddAdminServer(&g, a.settings.Admin, chivedaemon.NewAdminRouter(a.state, a.meter))
+	limit := chivedaemon.MemoryLimit(a.settings.Memory)
+	chivedaemon.LimitHeap(limit)
+	doors := &chivedoor.Ledger{Budget: chivebudget.ForMemory(limit), MaxConns: chivedoor.MaxConnsOf(chivedoor.FileLimit(0)), Log: a.log}
+	g.Add(func() error { return doors.Run(base) }, func(error) { cancel() })
+	admin := doors.Add(&chivedoor.Door{Name: "admin", Weight: 1, AnswerTime: adminAnswerTime})
+	chivedaemon.AddAdminServer(&g, admin, a.settings.Admin, chivedaemon.NewAdminRouter(a.state, a.meter))
 	return g.Run()
 }
 
+// adminAnswerTime is how long a request at the admin address may take.
+const adminAnswerTime = 5 * time.Second
+
 // addActors adds the agent's goroutines. They run on base, which stays alive while
 // the agent drains; the end of any of them cancels it.
 func (a *Agent) addActors(base context.Context, cancel context.CancelFunc, g *run.Group) {
--- a/internal/run/chivedaemon/admin.go
+++ b/internal/run/chivedaemon/admin.go
@@ -9,14 +9,14 @@
 	"github.com/labstack/echo/v4"
 	"github.com/oklog/run"
 	"github.com/zeebo/errs"
+
+	"github.com/chiveyoke/chiveyoke/internal/run/chivedoor"
 )
 
 // Error is the class of errors of this package.
 var Error = errs.Class("daemon")
 
 const (
-	// headerTimeout is the maximum time to read a request's header.
-	headerTimeout = 5 * time.Second
 	// shutdownTimeout is the maximum time that the admin server waits for its
 	// requests at shutdown.
 	shutdownTimeout = time.Second
@@ -41,10 +41,16 @@
 	return e
 }
 
-// AddAdminServer adds to the group a server that listens at addr and serves h.
-func AddAdminServer(g *run.Group, addr string, h http.Handler) {
-	server := &http.Server{Addr: addr, Handler: h, ReadHeaderTimeout: headerTimeout}
-	g.Add(func() error { return ignoreServerClosed(server.ListenAndServe()) }, func(error) {
+// AddAdminServer adds to the group a server that listens at addr through a door and serves h.
+func AddAdminServer(g *run.Group, door *chivedoor.Door, addr string, h http.Handler) {
+	server := door.Prepare(&http.Server{Handler: h})
+	g.Add(func() error {
+		l, err := door.Listen("tcp", addr)
+		if err != nil {
+			return Error.Wrap(err)
+		}
+		return ignoreServerClosed(server.Serve(l))
+	}, func(error) {
 		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 		defer cancel()
 		_ = server.Shutdown(ctx)
--- a/internal/run/chivegateway/chat.go
+++ b/internal/run/chivegateway/chat.go
@@ -19,6 +19,7 @@
 	"github.com/chiveyoke/chiveyoke/internal/peer/chivelink"
 	"github.com/chiveyoke/chiveyoke/internal/policy/chiveroute"
 	"github.com/chiveyoke/chiveyoke/internal/policy/chiveverdict"
+	"github.com/chiveyoke/chiveyoke/internal/run/chivedoor"
 	"github.com/chiveyoke/chiveyoke/internal/state/chivesheet"
 )
 
@@ -402,12 +403,27 @@
 	if errors.As(err, &tooLarge) {
 		return nil, chiveverdict.NotRunf(chiveverdict.CodeInvalid, 0, "body is larger than %d bytes", maxBodyBytes)
 	}
+	if errors.Is(err, chivedoor.ErrNoRoom) {
+		return nil, noMemory()
+	}
 	if err != nil {
 		return nil, chiveverdict.NotRunf(chiveverdict.CodeInvalid, 0, "body cannot be read: %v", err)
 	}
 	return body, nil
 }
 
+// noMemory returns the failure of a request for which there is no memory.
+func noMemory() *chiveverdict.Failure {
+	return chiveverdict.NotRunf(chiveverdict.CodeOverload, busyRetryAfter, "no memory for further requests")
+}
+
+// refusalHandler returns the handler of requests for which there is no memory.
+func (g *Gateway) refusalHandler() http.Handler {
+	e := echo.New()
+	e.Any("/*", func(c echo.Context) error { return g.refuse(c, noMemory()) })
+	return e
+}
+
 // withDeadline returns the context of the request with a deadline from its
 // timeout header, or from the settings if it has none. It fails if the header
 // is malformed or above maxTimeout.
--- a/internal/run/chivegateway/run.go
+++ b/internal/run/chivegateway/run.go
@@ -3,14 +3,15 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"time"
 
 	"github.com/oklog/run"
 
 	"github.com/chiveyoke/chiveyoke/internal/peer/chivelink"
+	"github.com/chiveyoke/chiveyoke/internal/policy/chivebudget"
 	"github.com/chiveyoke/chiveyoke/internal/run/chivedaemon"
+	"github.com/chiveyoke/chiveyoke/internal/run/chivedoor"
 	"github.com/chiveyoke/chiveyoke/internal/run/chivemeter"
 )
 
@@ -21,6 +22,11 @@
 	idleTimeout = 90 * time.Second
 	// maxHeaderBytes is the maximum size of the header of a request.
 	maxHeaderBytes = 64 << 10
+	// callerWeight is the weight of the port for callers when the budget for connections is
+	// divided; that of the admin port is 1.
+	callerWeight = 4
+	// bodyFactor is the memory that a byte of a body takes in bytes: it is decoded and sent on.
+	bodyFactor = 3
 	// departureSpreadTime is the time allowed for a departure to reach every
 	// gateway.
 	departureSpreadTime = 3 * time.Second
@@ -37,11 +43,19 @@
 	defer stop()
 	serveCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	callerServer := &http.Server{
-		Addr: g.settings.Caller, Handler: g.callerHandler(),
-		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	limit := chivedaemon.MemoryLimit(g.settings.Memory)
+	chivedaemon.LimitHeap(limit)
+	doors := &chivedoor.Ledger{
+		Budget: chivebudget.ForMemory(limit), MaxConns: chivedoor.MaxConnsOf(chivedoor.FileLimit(0)), Log: g.log,
+		Limits: func() chivedoor.Limits {
+			return chivedoor.Limits{MaxHead: maxHeaderBytes, HeadTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+		},
 	}
-	listener, err := net.Listen("tcp", callerServer.Addr)
+	callers := doors.Add(&chivedoor.Door{Name: "callers", Weight: callerWeight})
+	admin := doors.Add(&chivedoor.Door{Name: "admin", Weight: 1})
+	requests := &chivedoor.Requests{Budget: doors.Budget}
+	callerServer := callers.Prepare(&http.Server{Handler: requests.Handler(g.callerHandler(), g.refusalHandler(), bodyFactor)})
+	listener, err := callers.Listen("tcp", g.settings.Caller)
 	if err != nil {
 		return Error.Wrap(err)
 	}
@@ -54,11 +68,12 @@
 	group.Add(func() error { return g.duties.run(serveCtx) }, interrupt)
 	group.Add(func() error { return chivedaemon.IgnoreAfterDone(serveCtx, g.server.Serve(serveCtx)) }, interrupt)
 	group.Add(func() error { return waitAfterShutdown(serveCtx, callerServer.Serve(listener)) }, func(error) { _ = callerServer.Close() })
+	group.Add(func() error { return doors.Run(serveCtx) }, interrupt)
 	traffic := chivemeter.NewTrafficGauges(g.meter.Scope)
 	group.Add(func() error {
 		return g.meter.UpdateGauges(serveCtx, func() { traffic.Set(g.dialer.Traffic(), g.server.Traffic()) })
 	}, interrupt)
-	chivedaemon.AddAdminServer(&group, g.settings.Admin, g.adminHandler())
+	chivedaemon.AddAdminServer(&group, admin, g.settings.Admin, chivedoor.CountBodies(g.adminHandler(), bodyFactor))
 	return group.Run()
 }
 
--- a/internal/run/chivesetting/agent.go
+++ b/internal/run/chivesetting/agent.go
@@ -23,6 +23,8 @@
 	Keys Keys   `yaml:"keys" envPrefix:"KEYS_"`
 	// Queue is the maximum number of queued requests.
 	Queue int `yaml:"queue" env:"QUEUE"`
+	// Memory is the memory that the process may use in MB. With 0 it is that of the machine.
+	Memory int `yaml:"memory" env:"MEMORY"`
 	// Grace is how long a stopping agent waits for its requests to finish.
 	Grace Duration `yaml:"grace" env:"GRACE"`
 	Log   Log      `yaml:"log" envPrefix:"LOG_"`
@@ -39,6 +41,9 @@
 	if a.Queue < 1 || a.Grace <= 0 {
 		return errors.New("queue and grace must be above 0")
 	}
+	if a.Memory < 0 {
+		return errors.New("memory must not be negative")
+	}
 	return errors.Join(
 		checkPresent("endpoint", a.Endpoint), checkPresent("zone", a.Zone), checkPresent("vms", a.VMs),
 		checkAddress("admin", a.Admin), checkAddress("link", a.Link), checkAddress("engine", a.Engine),
--- a/internal/run/chivesetting/gateway.go
+++ b/internal/run/chivesetting/gateway.go
@@ -38,6 +38,8 @@
 	Plan Duration `yaml:"plan" env:"PLAN"`
 	// Lease is the time after which a duty's lease expires if it is not renewed.
 	Lease Duration `yaml:"lease" env:"LEASE"`
+	// Memory is the memory that the process may use in MB. With 0 it is that of the machine.
+	Memory int `yaml:"memory" env:"MEMORY"`
 	// Grace is how long a stopping gateway waits for its streams to finish.
 	Grace Duration `yaml:"grace" env:"GRACE"`
 	Log   Log      `yaml:"log" envPrefix:"LOG_"`
@@ -70,6 +72,9 @@
 	if g.Lifetime <= 0 || g.Timeout <= 0 || g.Grace <= 0 || g.Lease <= 0 || g.Plan < 0 {
 		return errors.New("lifetime, timeout, grace and lease must be above 0, and plan must not be negative")
 	}
+	if g.Memory < 0 {
+		return errors.New("memory must not be negative")
+	}
 	return errors.Join(
 		checkPresent("name", g.Name), checkPresent("zone", g.Zone), checkPresent("vms", g.VMs),
 		checkAddress("caller", g.Caller), checkAddress("admin", g.Admin), checkAddress("link", g.Link),
