Tell a reset from the end of an answer while an upload is under way

The system reports a reset to one call only. The write of the upload met it, and the read of the answer got the end of the connection.

Change: chivesocket.Conn notes the error of a write and returns it at the end of the connection in place of that end; a write that is under way is ended first, so that nothing depends on which of the two returns earlier. A broken pipe is no such error: the system reports it for a reset after the other side has ended what it sends.

TestAnswerBeforeUploadEnds: an answer that ends early without a reset stays complete.

--- a/internal/peer/chiverunner/conn.go
+++ b/internal/peer/chiverunner/conn.go
@@ -65,7 +65,7 @@
 // Abort resets the connection. Bytes of the request that the runner has not read yet
 // are discarded, so that it does not begin an abandoned request later.
 func (c *Conn) Abort() {
-	if tcp, ok := c.nc.(*net.TCPConn); ok {
+	if tcp, ok := c.nc.(interface{ SetLinger(sec int) error }); ok {
 		// It fails only if the connection is closed already.
 		_ = tcp.SetLinger(0)
 	}
--- a/internal/peer/chiverunner/pool.go
+++ b/internal/peer/chiverunner/pool.go
@@ -67,7 +67,7 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	return newConn(addr, nc), nil
+	return newConn(addr, chivesocket.NewConn(nc)), nil
 }
 
 // Put returns a connection to the pool. It closes the connection if the pool already
--- a/internal/peer/chivesocket/timeouts.go
+++ b/internal/peer/chivesocket/timeouts.go
@@ -1,5 +1,6 @@
 // Package chivesocket implements time limits of TCP connections, by which the kernel
-// closes a connection to a peer that has stopped responding.
+// closes a connection to a peer that has stopped responding, and connections whose resets
+// are told from their ends.
 package chivesocket
 
 import (
