Take no answer whose status has no class or whose version is another one

Here a status below 100 counted as informational: what followed it, also its own body, was read as the next answer and reached the caller as a success. Agents passed 000, 099, +20, 101 and 999 of a service on, counted these statuses of an engine as not run, and a scout's reply counted with any status.

Cause: net/http reads the three bytes of a status as a number, with a sign too, and passes on any class and version; each place compared it with what it expected only.

Change: chiveanswer.Check, used by the connections to runners, also for informational answers, and by chiveanswer.Transport, with which all other answers are read: services, engines, ranks, scouts, store, hubs, table, object store, VM list, operators' calls. Its connections tell resets from ends as those to runners do. An answer that fails the check is no answer: the request may have run, it is tried elsewhere only if it may be repeated, else the caller gets 502.

--- a/internal/peer/chiveengine/client.go
+++ b/internal/peer/chiveengine/client.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -14,6 +15,7 @@
 	"github.com/tmaxmax/go-sse"
 	"github.com/zeebo/errs"
 
+	"github.com/chiveyoke/chiveyoke/internal/peer/chiveanswer"
 	"github.com/chiveyoke/chiveyoke/internal/policy/chiveverdict"
 )
 
@@ -43,8 +45,8 @@
 func NewClient(addr string) *Client {
 	return &Client{
 		base:        "http://" + addr,
-		http:        &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: 30 * time.Second}},
-		generations: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+		http:        &http.Client{Transport: chiveanswer.NewTransport(&http.Transport{MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: 30 * time.Second}, &net.Dialer{})},
+		generations: &http.Client{Transport: chiveanswer.NewTransport(&http.Transport{DisableKeepAlives: true}, &net.Dialer{})},
 	}
 }
 
--- a/internal/peer/chiveobject/store.go
+++ b/internal/peer/chiveobject/store.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -17,6 +18,7 @@
 	"github.com/aws/aws-sdk-go-v2/service/s3/types"
 	"github.com/zeebo/errs"
 
+	"github.com/chiveyoke/chiveyoke/internal/peer/chiveanswer"
 	"github.com/chiveyoke/chiveyoke/internal/state/chiverow"
 )
 
@@ -50,7 +52,7 @@
 		Region:                     s.Region,
 		UsePathStyle:               true,
 		Credentials:                credentials.NewStaticCredentialsProvider(s.Access, s.Secret, ""),
-		HTTPClient:                 &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}},
+		HTTPClient:                 &http.Client{Transport: chiveanswer.NewTransport(&http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}, &net.Dialer{})},
 		Retryer:                    aws.NopRetryer{},
 		RequestChecksumCalculation: aws.RequestChecksumCalculationWhenRequired,
 		ResponseChecksumValidation: aws.ResponseChecksumValidationWhenRequired,
--- a/internal/peer/chiveoperator/client.go
+++ b/internal/peer/chiveoperator/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -12,6 +13,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/chiveyoke/chiveyoke/internal/peer/chiveanswer"
 	"github.com/chiveyoke/chiveyoke/internal/state/chiveconf"
 	"github.com/chiveyoke/chiveyoke/internal/state/chivesheet"
 	"github.com/chiveyoke/chiveyoke/internal/state/chivetime"
@@ -24,6 +26,13 @@
 // cut off.
 const maxResponseBytes = 64 << 20
 
+const (
+	// dialTimeout bounds opening a connection.
+	dialTimeout = 15 * time.Second
+	// idleTimeout is how long an idle connection is kept.
+	idleTimeout = 90 * time.Second
+)
+
 // RejectedError is the error of a request that a gateway answered with a status
 // other than 200, such as a change that it refused.
 type RejectedError struct {
@@ -50,7 +59,7 @@
 // NewClient returns a new Client with a timeout of 15 seconds for each gateway that
 // it tries.
 func NewClient(gateways []string, token string) *Client {
-	return &Client{Gateways: gateways, Token: token, HTTP: http.Client{Timeout: 15 * time.Second}}
+	return &Client{Gateways: gateways, Token: token, HTTP: http.Client{Timeout: 15 * time.Second, Transport: chiveanswer.NewTransport(&http.Transport{Proxy: http.ProxyFromEnvironment, IdleConnTimeout: idleTimeout}, &net.Dialer{Timeout: dialTimeout})}}
 }
 
 // Head returns the head in force at a gateway.
--- a/internal/peer/chiverunner/conn.go
+++ b/internal/peer/chiverunner/conn.go
@@ -14,6 +14,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/chiveyoke/chiveyoke/internal/peer/chiveanswer"
 	"github.com/chiveyoke/chiveyoke/internal/state/chiveclock"
 	"github.com/chiveyoke/chiveyoke/internal/state/chiveguard"
 )
@@ -177,7 +178,8 @@
 }
 
 // readHeader reads the header of the next response, skipping those with a status 1xx. Its
-// error wraps ErrUnbounded if these have no end.
+// error wraps ErrUnbounded if these have no end, and chiveanswer.ErrMalformed if one of them is
+// no response.
 func (c *Conn) readHeader(req *http.Request) (*http.Response, error) {
 	c.head.begin()
 	defer c.head.end()
@@ -186,6 +188,9 @@
 		if err != nil {
 			return nil, Error.Wrap(err)
 		}
+		if err := chiveanswer.Check(resp); err != nil {
+			return nil, Error.Wrap(err)
+		}
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
--- a/internal/peer/chivescout/client.go
+++ b/internal/peer/chivescout/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/chiveyoke/chiveyoke/internal/peer/chiveanswer"
 	"github.com/chiveyoke/chiveyoke/internal/state/chiverank"
 )
 
@@ -50,14 +51,13 @@
 // NewClient returns a Client for scouts on a port, with direct calls through an
 // Engine.
 func NewClient(port int, direct chiverank.Engine) *Client {
-	return &Client{Port: port, Direct: direct, unavailableUntil: map[string]time.Time{}, client: &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout, KeepAlive: time.Second}).DialContext,
+	return &Client{Port: port, Direct: direct, unavailableUntil: map[string]time.Time{}, client: &http.Client{Transport: chiveanswer.NewTransport(&http.Transport{
 		IdleConnTimeout:     idleConnTimeout,
 		MaxIdleConnsPerHost: 2,
 		DisableCompression:  true,
 
 		MaxResponseHeaderBytes: maxReplyHeadBytes,
-	}}}
+	}, &net.Dialer{Timeout: dialTimeout, KeepAlive: time.Second})}}
 }
 
 // Order implements chiverank.Ranks. Hold and Go are sent directly: if they went
@@ -173,6 +173,9 @@
 	if err != nil {
 		return nil, true, Error.Wrap(err)
 	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, true, Error.New("scout at %s answered with HTTP status %d: %.200s", host, resp.StatusCode, data)
+	}
 	var r Reply
 	if err := cbor.Unmarshal(data, &r); err != nil {
 		return nil, true, Error.New("cannot decode the reply of the scout at %s, HTTP status %d: %v", host, resp.StatusCode, err)
--- a/internal/peer/chiveservice/client.go
+++ b/internal/peer/chiveservice/client.go
@@ -6,11 +6,13 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
 
+	"github.com/chiveyoke/chiveyoke/internal/peer/chiveanswer"
 	"github.com/chiveyoke/chiveyoke/internal/policy/chiveverdict"
 )
 
@@ -46,7 +48,7 @@
 // reused connection breaks, although the service may already have run it. Redirects
 // are not followed.
 func NewClient(addr string) *Client {
-	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
+	transport := chiveanswer.NewTransport(&http.Transport{DisableKeepAlives: true, DisableCompression: true}, &net.Dialer{})
 	client := &http.Client{Transport: transport, CheckRedirect: func(*http.Request, []*http.Request) error {
 		return http.ErrUseLastResponse
 	}}
--- a/internal/peer/chivetable/table.go
+++ b/internal/peer/chivetable/table.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -17,6 +18,7 @@
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
 	"github.com/zeebo/errs"
 
+	"github.com/chiveyoke/chiveyoke/internal/peer/chiveanswer"
 	"github.com/chiveyoke/chiveyoke/internal/state/chiverow"
 )
 
@@ -61,7 +63,7 @@
 		BaseEndpoint: aws.String(s.URL),
 		Region:       s.Region,
 		Credentials:  credentials.NewStaticCredentialsProvider(s.Access, s.Secret, ""),
-		HTTPClient:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}},
+		HTTPClient:   &http.Client{Transport: chiveanswer.NewTransport(&http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}, &net.Dialer{})},
 		Retryer:      retry.AddWithMaxAttempts(aws.NopRetryer{}, 1),
 	})
 	return &Table{name: s.Name, client: client}
--- a/internal/peer/chivevm/list.go
+++ b/internal/peer/chivevm/list.go
@@ -6,11 +6,14 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"time"
 
 	"github.com/zeebo/errs"
+
+	"github.com/chiveyoke/chiveyoke/internal/peer/chiveanswer"
 )
 
 // Error is the class of errors of this package.
@@ -19,6 +22,13 @@
 // maxVMs bounds the size of a response: it may hold this many VMs of 512 bytes each.
 const maxVMs = 10_000
 
+const (
+	// dialTimeout bounds opening a connection.
+	dialTimeout = 2 * time.Second
+	// idleTimeout is how long an idle connection is kept.
+	idleTimeout = 90 * time.Second
+)
+
 // State is the lifecycle state of a VM.
 type State string
 
@@ -68,7 +78,7 @@
 
 // NewClient returns a client of the list at url. Its requests time out after 2 s.
 func NewClient(url string) *Client {
-	return &Client{URL: url, HTTP: http.Client{Timeout: 2 * time.Second}}
+	return &Client{URL: url, HTTP: http.Client{Timeout: 2 * time.Second, Transport: chiveanswer.NewTransport(&http.Transport{Proxy: http.ProxyFromEnvironment, IdleConnTimeout: idleTimeout}, &net.Dialer{Timeout: dialTimeout})}}
 }
 
 // List returns the entry VMs according to the platform, whose list may be out of date.
--- a/internal/run/chivehub/replica.go
+++ b/internal/run/chivehub/replica.go
@@ -4,6 +4,7 @@
 	"compress/gzip"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -13,6 +14,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/labstack/echo/v4/middleware"
 
+	"github.com/chiveyoke/chiveyoke/internal/peer/chiveanswer"
 	"github.com/chiveyoke/chiveyoke/internal/run/chivedoor"
 	"github.com/chiveyoke/chiveyoke/internal/state/chiveclock"
 	"github.com/chiveyoke/chiveyoke/internal/state/chivefollow"
@@ -121,9 +123,9 @@
 
 // NewClient returns a Client that keeps at most one idle connection per hub.
 func NewClient() *Client {
-	return &Client{http: http.Client{Timeout: fetchTimeout, Transport: &http.Transport{
+	return &Client{http: http.Client{Timeout: fetchTimeout, Transport: chiveanswer.NewTransport(&http.Transport{
 		MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxHeadSize,
-	}}}
+	}, &net.Dialer{})}}
 }
 
 // Changes implements Replicas.Changes.
