Take no answer with a field whose name is no token

Seen (MIXED): an answer in whose head a field's name held a blank reached the client, with that line or with a body that was not the runner's. Here the caller got it as a success; a length or a coding with a blank before its colon was not heeded, so that the chunks themselves were the body.

Cause: net/http rejects most bytes that no name has, but passes names with blanks on, for heads, informational heads and trailers.

Control bytes were rejected before, too; the tests keep that.

--- a/internal/peer/chiveanswer/clients_test.go
+++ b/internal/peer/chiveanswer/clients_test.go
@@ -141,7 +141,8 @@
 }
 
 // TestMalformedAnswersAnywhere guards against answers that are none in the protocol and count as success
-// at some place where answers are read: by a status without a class, or by a version.
+// at some place where answers are read: by a status without a class, by the name of a field, or by a
+// version.
 func TestMalformedAnswersAnywhere(t *testing.T) {
 	for _, c := range clients(t) {
 		fields := fmt.Sprintf("Content-Type: text/event-stream\r\nContent-Length: %d\r\nConnection: close\r\n", len(c.body))
@@ -152,6 +153,11 @@
 			{"status +20", "HTTP/1.1 +20 OK\r\n" + fields},
 			{"status 101", "HTTP/1.1 101 OK\r\n" + fields},
 			{"status 999", "HTTP/1.1 999 OK\r\n" + fields},
+			{"name with a blank", "HTTP/1.1 200 OK\r\nX Y: v\r\n" + fields},
+			{"blank after a name", "HTTP/1.1 200 OK\r\nX : v\r\n" + fields},
+			{"blank before the colon of the length", "HTTP/1.1 200 OK\r\n" + strings.Replace(fields, "Length:", "Length :", 1)},
+			{"control byte in a name", "HTTP/1.1 200 OK\r\nX\x01Y: v\r\n" + fields},
+			{"control byte in a value", "HTTP/1.1 200 OK\r\nX: a\x01b\r\n" + fields},
 			{"another version", "HTTP/2.0 200 OK\r\n" + fields},
 		} {
 			addr := serve(t, func(conn net.Conn) {
--- a/internal/peer/chiveanswer/transport.go
+++ b/internal/peer/chiveanswer/transport.go
@@ -29,6 +29,7 @@
 		_ = resp.Body.Close()
 		return nil, err
 	}
+	CheckTrailer(resp)
 	return resp, nil
 }
 
--- a/internal/peer/chiverunner/conn.go
+++ b/internal/peer/chiverunner/conn.go
@@ -192,6 +192,7 @@
 			return nil, Error.Wrap(err)
 		}
 		if resp.StatusCode >= http.StatusOK {
+			chiveanswer.CheckTrailer(resp)
 			return resp, nil
 		}
 	}
--- a/internal/run/chiverelay/malformed_answer_test.go
+++ b/internal/run/chiverelay/malformed_answer_test.go
@@ -69,3 +69,22 @@
 		checkNoSuccess(t, s, "version "+version, version+" 200 OK\r\n"+wholeWith(""))
 	}
 }
+
+// TestMalformedFields guards against answers with a name that is no token or a value with a control byte,
+// and that callers get as a success, with that line or with a body that is not the runner's (MIXED): in
+// the head, in an informational head, in a trailer, and where the line would tell where the body ends.
+func TestMalformedFields(t *testing.T) {
+	s := newTestCluster(t, 87, 0)
+	for _, name := range []string{"X Y", "X ", "X\t", "X\x00", "X\x01Y", "X\x7f", "X\xc3", "X(", "X\rY", ""} {
+		line := name + ": v\r\n"
+		checkNoSuccess(t, s, fmt.Sprintf("name %q", name), scriptOK+wholeWith("A: b\r\n"+line))
+		checkNoSuccess(t, s, fmt.Sprintf("name %q in an informational head", name), "HTTP/1.1 103 Early Hints\r\nA: b\r\n"+line+"\r\n"+scriptOK+wholeWith(""))
+		checkNoSuccess(t, s, fmt.Sprintf("name %q in a trailer", name), scriptOK+scriptID+"Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n"+line+"\r\n")
+	}
+	for _, field := range []string{"Content-Length : 5", "Transfer-Encoding : chunked", "Content-Length\t: 5"} {
+		checkNoSuccess(t, s, "framing by "+field, scriptOK+scriptID+field+"\r\n\r\n5\r\nwhole\r\n0\r\n\r\n")
+	}
+	for _, value := range []string{"a\x00b", "a\x01b", "a\x7fb", "a\rb"} {
+		checkNoSuccess(t, s, fmt.Sprintf("value %q", value), scriptOK+wholeWith("A: "+value+"\r\n"))
+	}
+}
