--- a/internal/bench/chivecrowd/entry_test.go
+++ b/internal/bench/chivecrowd/entry_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 
@@ -183,3 +184,53 @@
 		}
 	}
 }
+
+// shortFieldsKind is the kind of bytes that becomes most memory.
+func shortFieldsKind() Kind {
+	return Kinds()[0]
+}
+
+// TestEntryVMCrowdsAtTwoPorts guards against crowds at two ports at once, of which each alone keeps to
+// the bound.
+func TestEntryVMCrowdsAtTwoPorts(t *testing.T) {
+	_, e := startEntry(t, 0)
+	doors := entryDoors(e)
+	first := Gather(crowdSize, doors[0], shortFieldsKind())
+	defer first.Close()
+	first.Add(crowdSize, doors[1], shortFieldsKind())
+	checkEntry(t, e, 0)
+	askEntry(t, e)
+	checkEntry(t, e, 0)
+}
+
+// TestEntryVMStopsUnderACrowd guards against a crowd that keeps an entry VM from its planned stop.
+func TestEntryVMStopsUnderACrowd(t *testing.T) {
+	for _, k := range append(Kinds(), Idle()...) {
+		t.Run(k.Name, func(t *testing.T) {
+			_, e := startEntry(t, 0)
+			crowd := Gather(crowdSize, entryDoors(e)[0], k)
+			defer crowd.Close()
+			checkEntry(t, e, 0)
+			e.Signal(syscall.SIGTERM)
+			if !e.WaitExit(startTimeout) {
+				t.Error("the process has not exited with status 0")
+			}
+		})
+	}
+}
+
+// TestEntryVMStoreAwayUnderACrowd guards against a crowd that an entry VM does not outlive while the
+// store is away, or after which it does not serve again.
+func TestEntryVMStoreAwayUnderACrowd(t *testing.T) {
+	s, e := startEntry(t, 0)
+	s.StoreLink.SetFault(chiveplatform.LinkReset)
+	crowd := Gather(crowdSize, entryDoors(e)[0], shortFieldsKind())
+	defer crowd.Close()
+	checkEntry(t, e, 0)
+	s.StoreLink.SetFault(chiveplatform.LinkHealthy)
+	if err := s.WaitReady(startTimeout); err != nil {
+		t.Fatal(err)
+	}
+	askEntry(t, e)
+	checkEntry(t, e, 0)
+}
--- a/internal/bench/chivecrowd/kind.go
+++ b/internal/bench/chivecrowd/kind.go
@@ -55,7 +55,7 @@
 		}},
 		{"long field", func(c net.Conn, d Door) error { return send(c, d.start()+"X: "+strings.Repeat("x", longHead)) }},
 		{"fields without an end", func(c net.Conn, d Door) error { return sendEndless(c, d.start(), shortFields(longHead)) }},
-		{"line without an end", func(c net.Conn, d Door) error { return sendEndless(c, "GET /", strings.Repeat("x", blockSize)) }},
+		{"line without an end", func(c net.Conn, _ Door) error { return sendEndless(c, "GET /", strings.Repeat("x", blockSize)) }},
 		{"body held back", func(c net.Conn, d Door) error {
 			return send(c, d.start()+"Content-Length: 900000\r\n"+shortFields(longHead)+"\r\n")
 		}},
--- a/internal/policy/chivebudget/connections.go
+++ b/internal/policy/chivebudget/connections.go
@@ -58,7 +58,7 @@
 // as that is possible. It closes only at doors that use more than is guaranteed to them, so that a
 // crowd at one door leaves room at the others.
 func CloseFirst(candidates []Candidate, shares []Share, limit int64) []int {
-	var excess int64 = -limit
+	excess := -limit
 	for _, s := range shares {
 		excess += s.Used
 	}
--- a/internal/run/chivedoor/ledger.go
+++ b/internal/run/chivedoor/ledger.go
@@ -260,7 +260,7 @@
 	l.mu.Unlock()
 	closeAll(victims)
 	for key, n := range logged {
-		l.Log.Info("Connections were closed.", "door", key.Door, "reason", string(key.Reason), "count", n)
+		l.Log.Info("Connections were closed.", "port", key.Door, "reason", string(key.Reason), "count", n)
 	}
 }
 
--- a/internal/run/chiveentry/metrics.go
+++ b/internal/run/chiveentry/metrics.go
@@ -104,6 +104,15 @@
 	s.Gauge("callers_slow_held_bytes").Update(float64(memory.SlowHeld))
 	s.Gauge("callers_cut").Update(float64(memory.Cuts))
 	s.Gauge("memory_refusals").Update(float64(memory.Refusals))
+	doors, closed := d.doors.Counts()
+	for name, c := range doors {
+		tagged := s.Tagged(map[string]string{"port": name})
+		tagged.Gauge("connections").Update(float64(c.Conns))
+		tagged.Gauge("connections_held_bytes").Update(float64(c.Held))
+	}
+	for key, n := range closed {
+		s.Tagged(map[string]string{"port": key.Door, "reason": string(key.Reason)}).Gauge("connections_closed").Update(float64(n))
+	}
 	s.Gauge("peers_alive").Update(float64(len(d.mesh.Peers())))
 	for name, room := range d.relay.State.Rooms() {
 		tagged := s.Tagged(map[string]string{"service": name})
