Free some room when the part for connections is spent

Cause: with the limit reached each read of a head looked at all connections under the lock of the ledger. Change: CloseFirst goes down to fifteen sixteenths of the limit, so that a crowd costs one look for many reads.

--- a/internal/policy/chivebudget/connections.go
+++ b/internal/policy/chivebudget/connections.go
@@ -9,6 +9,8 @@
 	// connDivisor is the part of Budget.Total that connections without an admitted request may
 	// have in addition to it.
 	connDivisor = 3
+	// roomDivisor is the part of a limit that becomes free when it was exceeded.
+	roomDivisor = 16
 	// minSpent keeps one that has used much in a short time from weighing nothing.
 	minSpent = 1.0 / 16
 )
@@ -55,16 +57,18 @@
 }
 
 // CloseFirst returns the indexes of the connections to close so that the shares fit the limit, as far
-// as that is possible. It closes only at doors that use more than is guaranteed to them, so that a
-// crowd at one door leaves room at the others.
+// as that is possible; then some room is left, so that not every further byte closes one. It closes
+// only at doors that use more than is guaranteed to them, so that a crowd at one door leaves room at
+// the others.
 func CloseFirst(candidates []Candidate, shares []Share, limit int64) []int {
-	excess := -limit
+	var sum int64
 	for _, s := range shares {
-		excess += s.Used
+		sum += s.Used
 	}
-	if excess <= 0 {
+	if sum <= limit {
 		return nil
 	}
+	excess := sum - (limit - limit/roomDivisor)
 	over := guaranteed(limit, shares)
 	for i, s := range shares {
 		over[i] = s.Used - over[i]
