--- a/cmd/chiveyoke-soak/site.go
+++ b/cmd/chiveyoke-soak/site.go
@@ -10,6 +10,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/chiveyoke/chiveyoke/internal/bench/chivecrowd"
 	"github.com/chiveyoke/chiveyoke/internal/bench/chiveplatform"
 )
 
@@ -25,12 +26,16 @@
 		firstSeed   uint64
 		seeds, jobs int
 		logDir      string
+		crowds      bool
 	)
 	cmd := &cobra.Command{
 		Use:   "site",
 		Short: "Run entry VMs against the stand-in of the users' platform, once for each seed",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			if crowds {
+				template.Crowd = chivecrowd.Visit
+			}
 			return runSeeds(cmd.Context(), cmd, template, firstSeed, seeds, jobs, logDir)
 		},
 	}
@@ -45,6 +50,7 @@
 	flags.BoolVar(&template.Silences, "silences", false, "let all connections to the store go silent beside the other faults")
 	flags.BoolVar(&template.Troubles, "troubles", false, "let runners leave, ask for pauses, name limits, answer without an end and crash under a part of prompts or a request, and entry VMs stop in series, beside the other faults")
 	flags.BoolVar(&template.SlowCallers, "slow-callers", false, "let a third of the callers read slowly in every second seed, and limit the memory of entry VMs")
+	flags.BoolVar(&crowds, "crowds", false, "let crowds of clients that keep to no limit visit the ports of entry VMs, and limit the memory of entry VMs")
 	flags.IntVar(&template.EntryVMs, "entries", 4, "number of entry VMs")
 	flags.IntVar(&template.Runners, "runners", 3, "number of runners")
 	flags.StringVar(&logDir, "logs", "", "directory for settings and logs; they are deleted if it is not set")
--- a/internal/bench/chivecrowd/entry_test.go
+++ b/internal/bench/chivecrowd/entry_test.go
@@ -16,9 +16,8 @@
 )
 
 const (
-	// memoryMB is the limit on the memory of a process in its settings, in MB of bytesPerMB.
-	memoryMB   = 128
-	bytesPerMB = 1_000_000
+	// memoryMB is the limit on the memory of a process in its settings, in MB.
+	memoryMB = 128
 	// crowdSize is the number of clients that send more than they may, idleSize that of clients
 	// that keep connections.
 	crowdSize = 250
--- a/internal/bench/chiveplatform/soak.go
+++ b/internal/bench/chiveplatform/soak.go
@@ -29,7 +29,7 @@
 	minServedFraction = 0.9
 	// probeInterval is the time between two probes of the configuration at an entry VM.
 	probeInterval = 60 * time.Millisecond
-	// soakMemoryMB is the limit on the memory of entry VMs with slow callers, in MB.
+	// soakMemoryMB is the limit on the memory of entry VMs with slow callers or crowds, in MB.
 	soakMemoryMB = 136
 	// startTimeout bounds the time until all entry VMs are ready.
 	startTimeout = 20 * time.Second
@@ -56,6 +56,10 @@
 	// SlowCallers lets a third of the callers read slowly in every second seed, and limits the
 	// memory of entry VMs.
 	SlowCallers bool
+	// Crowd, if it is not nil, has clients that keep to no limit visit an entry VM for a moment, and
+	// returns an error if its process then uses more memory than memoryMB. It limits the memory of
+	// entry VMs.
+	Crowd func(ctx context.Context, e *EntryVM, memoryMB int, rng *rand.Rand) error
 	// EntryVMs and Runners are the numbers of entry VMs and of runners.
 	EntryVMs int
 	Runners  int
@@ -109,7 +113,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if s.SlowCallers {
+	if s.SlowCallers || s.Crowd != nil {
 		site.MemoryMB = soakMemoryMB
 	}
 	p := &soakRun{
@@ -155,6 +159,9 @@
 		otherFaults.Go(func() { p.stopInSeries(faultCtx) })
 		otherFaults.Go(func() { p.crashRunners(faultCtx) })
 	}
+	if p.Crowd != nil {
+		otherFaults.Go(func() { p.gatherCrowds(faultCtx) })
+	}
 	p.injectFaults(ctx)
 	endFaults()
 	otherFaults.Wait()
--- a/internal/bench/chiveplatform/trouble.go
+++ b/internal/bench/chiveplatform/trouble.go
@@ -83,6 +83,15 @@
 	p.restarts.Wait()
 }
 
+// gatherCrowds has crowds visit one entry VM after the other, until the context ends.
+func (p *soakRun) gatherCrowds(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(p.Seed, 7))
+	for sleep(ctx, time.Duration(rng.IntN(400))*time.Millisecond) {
+		p.countFault("crowd")
+		p.noteError(p.Crowd(ctx, p.site.EntryVMs[rng.IntN(len(p.site.EntryVMs))], p.site.MemoryMB, rng))
+	}
+}
+
 // countFault counts an injected fault.
 func (p *soakRun) countFault(name string) {
 	p.mu.Lock()
