--- a/internal/run/chiverelay/memory.go
+++ b/internal/run/chiverelay/memory.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/zeebo/errs"
 
 	"github.com/chiveyoke/chiveyoke/internal/policy/chivebudget"
 	"github.com/chiveyoke/chiveyoke/internal/run/chivedoor"
@@ -19,6 +20,9 @@
 // answer, in bytes: stacks, buffers of two connections, and headers.
 const requestSize = 32 << 10
 
+// errClosed is the cause of requests whose connection was closed for others as they arrived.
+var errClosed = errs.New("connection was closed to make room")
+
 // ordinaryHeadSize is what requestSize has for the head of a request, in bytes.
 const ordinaryHeadSize = 8 << 10
 
@@ -149,7 +153,7 @@
 	m := h.memory
 	held, ok := h.arriving.Begin()
 	if !ok {
-		return false, errCut
+		return false, errClosed
 	}
 	// The head is copied for the runner.
 	n := requestSize + h.bodySize + max(0, 2*(held-h.bodySize)-ordinaryHeadSize)
