--- a/internal/bench/chivecrowd/fleet_test.go
+++ b/internal/bench/chivecrowd/fleet_test.go
@@ -14,12 +14,13 @@
 // fleetNet is the second byte of the addresses of the fleet.
 const fleetNet = 18
 
-// startFleet starts a fleet with one gateway whose processes have a limit on their memory.
-func startFleet(t *testing.T) *chiveharness.Fleet {
+// startFleet starts a fleet with one gateway whose processes have a limit on their memory and on their
+// descriptors, 0 for none.
+func startFleet(t *testing.T, files int) *chiveharness.Fleet {
 	t.Helper()
 	t.Setenv("CHIVEYOKE_MEMORY", strconv.Itoa(memoryMB))
 	f, err := chiveharness.Start(t.Context(), chiveharness.Settings{
-		Sheet: chiveharness.WarmSheet(fleetNet, 1), Net: fleetNet, Gateways: 1, Bin: programs, Dir: t.TempDir(), AddressLifetime: time.Second,
+		Sheet: chiveharness.WarmSheet(fleetNet, 1), Net: fleetNet, Gateways: 1, Bin: programs, Dir: t.TempDir(), AddressLifetime: time.Second, FileLimit: files,
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -45,7 +46,7 @@
 	}
 }
 
-// checkFleet checks that a process of a fleet lives and is within its memory.
+// checkFleet checks that a process of a fleet lives and is within its memory and descriptors.
 func checkFleet(t *testing.T, f *chiveharness.Fleet, d fleetDoor) {
 	t.Helper()
 	p := f.Processes[d.process]
@@ -64,6 +65,9 @@
 	if u.Memory() > memoryMB*bytesPerMB {
 		t.Errorf("memory is %d MB, %d bytes of them unread, want at most %d MB", u.Memory()/bytesPerMB, u.Unread, memoryMB)
 	}
+	if files := f.Settings.FileLimit; files > 0 && u.Descriptors >= files {
+		t.Errorf("%d descriptors are open, want less than %d", u.Descriptors, files)
+	}
 }
 
 // askFleet checks that an ordinary client gets a whole generation and that each port answers.
@@ -96,7 +100,7 @@
 	for i, name := range []string{"callers", "admin", "agent"} {
 		for _, k := range Kinds() {
 			t.Run(name+"/"+k.Name, func(t *testing.T) {
-				f := startFleet(t)
+				f := startFleet(t, 0)
 				d := fleetDoors(f)[i]
 				crowd := Gather(crowdSize, d.Door, k)
 				defer crowd.Close()
@@ -109,10 +113,29 @@
 	}
 }
 
+// TestFleetOutOfDescriptors guards against clients that take all descriptors of a gateway or an agent with
+// connections on which they send little, at each of their ports for HTTP.
+func TestFleetOutOfDescriptors(t *testing.T) {
+	for i, name := range []string{"callers", "admin", "agent"} {
+		for _, k := range Idle() {
+			t.Run(name+"/"+k.Name, func(t *testing.T) {
+				f := startFleet(t, fileLimit)
+				d := fleetDoors(f)[i]
+				crowd := Gather(idleSize, d.Door, k)
+				defer crowd.Close()
+				t.Logf("%d clients have sent all, %d were stalled, %d ended, %d refused", crowd.Sent, crowd.Stalled, crowd.Ended, crowd.Refused)
+				checkFleet(t, f, d)
+				askFleet(t, f)
+				checkFleet(t, f, d)
+			})
+		}
+	}
+}
+
 // TestFleetLinks guards against datagrams that end a process at the ports of links between
 // processes, which they reach without a certificate.
 func TestFleetLinks(t *testing.T) {
-	f := startFleet(t)
+	f := startFleet(t, 0)
 	for _, d := range []fleetDoor{
 		{Door{Name: "link of a gateway", Address: f.VMs[0].LinkAddress}, f.VMs[0].Name},
 		{Door{Name: "link of an agent", Address: f.Sheet.Endpoints[0].Agent}, f.Sheet.Endpoints[0].Name},
--- a/internal/bench/chiveharness/fleet.go
+++ b/internal/bench/chiveharness/fleet.go
@@ -78,6 +78,8 @@
 	// NoAgents starts no agents, and makes Start return without waiting until the
 	// sheet is in force. Map planning is off unless PlanInterval is set.
 	NoAgents bool
+	// FileLimit is the limit of gateways and agents on open files, 0 for that of this process.
+	FileLimit int
 	// PlanInterval is the time between two plans of an expert map, LeaseDuration the
 	// time after which a lease lapses; 0 means the default of the gateways.
 	PlanInterval  time.Duration
@@ -356,12 +358,12 @@
 // StartGateway starts gateway i.
 func (f *Fleet) StartGateway(i int) error {
 	name := f.VMs[i].Name
-	return f.startProgram(name, programGateway, "--config", f.path(name+".yaml"))
+	return f.startLimited(name, programGateway)
 }
 
 // StartAgent starts the agent of an endpoint.
 func (f *Fleet) StartAgent(endpoint string) error {
-	return f.startProgram(endpoint, programAgent, "--config", f.path(endpoint+".yaml"))
+	return f.startLimited(endpoint, programAgent)
 }
 
 // Restart starts the gateway or agent with the given name again.
@@ -374,6 +376,21 @@
 	return f.StartAgent(name)
 }
 
+// startLimited starts a gateway or an agent with the limit on open files.
+func (f *Fleet) startLimited(name, program string) error {
+	config := f.path(name + ".yaml")
+	if f.Settings.FileLimit == 0 {
+		return f.startProgram(name, program, "--config", config)
+	}
+	script := fmt.Sprintf(`ulimit -n %d && exec "$0" --config "$1"`, f.Settings.FileLimit)
+	p, err := startProcess(name, "sh", f.path(name+".log"), "-c", script, filepath.Join(f.Settings.Bin, program), config)
+	if err != nil {
+		return err
+	}
+	f.Processes[name] = p
+	return nil
+}
+
 // startProgram starts a program from Settings.Bin as the process with the given name.
 func (f *Fleet) startProgram(name, program string, args ...string) error {
 	p, err := startProcess(name, filepath.Join(f.Settings.Bin, program), f.path(name+".log"), args...)
