--- a/internal/bench/chivecrowd/entry_test.go
+++ b/internal/bench/chivecrowd/entry_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -13,6 +16,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/chiveyoke/chiveyoke/internal/bench/chiveplatform"
+	"github.com/chiveyoke/chiveyoke/platform"
 )
 
 const (
@@ -63,8 +67,7 @@
 // startEntry starts a site with one entry VM and one runner whose processes have limits.
 func startEntry(t *testing.T, files int) (*chiveplatform.Site, *chiveplatform.EntryVM) {
 	t.Helper()
-	net := byte(20 + os.Getpid()%200)
-	s, err := chiveplatform.NewSite(t.TempDir(), filepath.Join(programs, "chiveyoke-entry"), net, 1, 1)
+	s, err := chiveplatform.NewSite(t.TempDir(), filepath.Join(programs, "chiveyoke-entry"), byte(20+os.Getpid()%200), 1, 1)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -202,6 +205,47 @@
 	checkEntry(t, e, 0)
 }
 
+// TestEntryVMLargeReplica guards against clients that read no copies of a large table, each of which an
+// entry VM makes anew.
+func TestEntryVMLargeReplica(t *testing.T) {
+	const row = 400_000
+	s, e := startEntry(t, 0)
+	if err := s.Store.Put(platform.TableOperators, "notes", strings.Repeat("x", row)); err != nil {
+		t.Fatal(err)
+	}
+	door := entryDoors(e)[3]
+	for deadline := time.Now().Add(startTimeout); ; time.Sleep(100 * time.Millisecond) {
+		if size := copySize(t, door); size > row {
+			break
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("the table is not copied")
+		}
+	}
+	crowd := Gather(crowdSize, door, Kind{"copies not read", func(c net.Conn, d Door) error { return send(c, d.start()+"\r\n") }})
+	defer crowd.Close()
+	crowd.Add(crowdSize, door, Kind{"compressed copies not read", func(c net.Conn, d Door) error { return send(c, d.start()+"Accept-Encoding: gzip\r\n\r\n") }})
+	checkEntry(t, e, 0)
+	askEntry(t, e)
+	checkEntry(t, e, 0)
+}
+
+// copySize returns the size of the copy of a table.
+func copySize(t *testing.T, d Door) int {
+	t.Helper()
+	client := &http.Client{Timeout: ordinaryTimeout, Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	resp, err := client.Get("http://" + d.Address + d.Line[len("GET "):])
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(data)
+}
+
 // TestEntryVMStopsUnderACrowd guards against a crowd that keeps an entry VM from its planned stop.
 func TestEntryVMStopsUnderACrowd(t *testing.T) {
 	for _, k := range append(Kinds(), Idle()...) {
