--- a/tools/test.sh
+++ b/tools/test.sh
@@ -13,8 +13,8 @@
 	grep -v '^#' KNOWN-RED.txt
 	# shellcheck disable=SC2086 # The list of packages is split at blanks.
 	go test -count=1 -timeout 10m -skip "$red" $others
-	exec go test -count=1 -timeout 30m -skip "$red" $crowd
+	exec go test -count=1 -timeout 60m -skip "$red" $crowd
 fi
 # shellcheck disable=SC2086 # As above.
 go test -count=1 -timeout 10m $others
-exec go test -count=1 -timeout 30m $crowd
+exec go test -count=1 -timeout 60m $crowd
