--- a/internal/bench/chivecrowd/entry_test.go
+++ b/internal/bench/chivecrowd/entry_test.go
@@ -138,7 +138,14 @@
 	if !e.Running() {
 		t.Fatal("the process has ended")
 	}
-	u, err := Settle(e.PID(), e.IP)
+	checkUsage(t, e.PID(), e.IP, files)
+}
+
+// checkUsage checks that a process, whose sockets have an address, is within its memory and descriptors;
+// files is 0 if these are not limited.
+func checkUsage(t *testing.T, pid int, ip string, files int) {
+	t.Helper()
+	u, err := Settle(pid, ip)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/bench/chivecrowd/fleet_test.go
+++ b/internal/bench/chivecrowd/fleet_test.go
@@ -57,17 +57,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	u, err := Settle(p.PID(), host)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Logf("peak memory %d MB, %d kB unread, %d descriptors", u.Peak/bytesPerMB, u.Unread/bytesPerKB, u.Descriptors)
-	if u.Memory() > memoryMB*bytesPerMB {
-		t.Errorf("memory is %d MB, %d bytes of them unread, want at most %d MB", u.Memory()/bytesPerMB, u.Unread, memoryMB)
-	}
-	if files := f.Settings.FileLimit; files > 0 && u.Descriptors >= files {
-		t.Errorf("%d descriptors are open, want less than %d", u.Descriptors, files)
-	}
+	checkUsage(t, p.PID(), host, f.Settings.FileLimit)
 }
 
 // askFleet checks that an ordinary client gets a whole generation and that each port answers.
--- a/internal/bench/chivecrowd/scout_test.go
+++ b/internal/bench/chivecrowd/scout_test.go
@@ -60,17 +60,7 @@
 	if !s.Running() {
 		t.Fatal("the process has ended")
 	}
-	u, err := Settle(s.PID(), s.IP)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Logf("peak memory %d MB, %d kB unread, %d descriptors", u.Peak/bytesPerMB, u.Unread/bytesPerKB, u.Descriptors)
-	if u.Memory() > memoryMB*bytesPerMB {
-		t.Errorf("memory is %d MB, %d bytes of them unread, want at most %d MB", u.Memory()/bytesPerMB, u.Unread, memoryMB)
-	}
-	if files > 0 && u.Descriptors >= files {
-		t.Errorf("%d descriptors are open, want less than %d", u.Descriptors, files)
-	}
+	checkUsage(t, s.PID(), s.IP, files)
 }
 
 // askScout checks that an ordinary client gets the report of the rank, on a new connection.
--- a/internal/run/chivedoor/conn.go
+++ b/internal/run/chivedoor/conn.go
@@ -71,10 +71,6 @@
 		l.mu.Unlock()
 		return errClosed
 	}
-	c.ahead = 0
-	if buffered {
-		c.ahead = cost(b)
-	}
 	if c.step == stepIdle {
 		c.step, c.since, c.head = stepHead, time.Now(), 0
 	}
@@ -82,6 +78,14 @@
 	if inHead {
 		c.head += int64(len(b))
 	}
+	var size int64
+	if inHead || buffered {
+		size = cost(b)
+	}
+	c.ahead = 0
+	if buffered {
+		c.ahead = size
+	}
 	tooLong := inHead && c.head > l.limits().MaxHead
 	if tooLong {
 		l.count(c.door, LongHead)
@@ -92,7 +96,7 @@
 		return errLongHead
 	}
 	if inHead {
-		return l.grow(c, cost(b))
+		return l.grow(c, size)
 	}
 	return nil
 }
