--- a/review/lab3/cold.go
+++ b/review/lab3/cold.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -46,7 +47,7 @@
 	var recent []time.Time
 	crashed := false
 	r.mu.Lock()
-	r.onRequest = func(q *http.Request) {
+	r.onRequest = func(*http.Request) {
 		r.mu.Lock()
 		_, cold := r.isCold()
 		r.mu.Unlock()
@@ -56,8 +57,7 @@
 			return
 		}
 		now := time.Now()
-		for recent = append(recent, now); now.Sub(recent[0]) >= time.Second; recent = recent[1:] {
-		}
+		recent = slices.DeleteFunc(append(recent, now), func(at time.Time) bool { return now.Sub(at) >= time.Second })
 		if len(recent) > crashRate {
 			crashed = true
 			l.note("runner %s crashes: %d requests within a second while it is cold", r.id, len(recent))
--- a/review/lab3/deadly.go
+++ b/review/lab3/deadly.go
@@ -66,7 +66,7 @@
 func queryDeadly(varied bool) deadly {
 	return deadly{
 		kind: "idempotent", crashes: 3, most: 3,
-		make: func(n int, crashes bool) call {
+		make: func(_ int, crashes bool) call {
 			c := call{method: "GET", path: "/draft/x"}
 			if varied || !crashes {
 				c.path += fmt.Sprintf("?t=%d", time.Now().UnixNano())
@@ -142,7 +142,7 @@
 		l.load(30*time.Second, 16, 400*time.Millisecond, func(client *http.Client, n int) { send(client, d.make(n, false)) })
 	})
 	wg.Go(func() {
-		l.load(30*time.Second, 8, 400*time.Millisecond, func(client *http.Client, n int) {
+		l.load(30*time.Second, 8, 400*time.Millisecond, func(client *http.Client, _ int) {
 			send(client, call{method: "POST", path: "/order/x", body: "one box"})
 		})
 	})
--- a/review/lab3/refused.go
+++ b/review/lab3/refused.go
@@ -41,7 +41,7 @@
 		grey.mu.Unlock()
 		l.note("runner %s begins to fail part of the calls that it has run, with 503", grey.id)
 	}
-	l.load(6500*time.Millisecond, 8, 60*time.Millisecond, func(client *http.Client, n int) {
+	l.load(6500*time.Millisecond, 8, 60*time.Millisecond, func(client *http.Client, _ int) {
 		l.send(client, l.entries[rand.IntN(len(l.entries))], call{method: "POST", path: "/order/x", id: newID(), key: "key-1", body: "one box", deadline: 3 * time.Second})
 	})
 	runs, broken := l.runsOf(), 0
