Return no runner's status that says not run without its word

Cause: the relay checked that promise for its own answers only. A runner's server error was held and returned after the last attempt, its 429 or 408 passed on at once, each as the runner had written it, though only Chiveyoke-Not-Executed or 421 says that it has not run a request.

exchange.mayAnswer decides for all answers, those of runners before they are held or passed on. A status that would promise too much is a failed attempt: the request is repeated if it may be, else answered 502 or 504 without the runner's signature.

--- a/internal/run/chiverelay/attempt.go
+++ b/internal/run/chiverelay/attempt.go
@@ -182,6 +182,10 @@
 		x.recordFailure(ctx, runner.ID, fmt.Sprintf("runner %s answered %d without a signature and the id of the request", runner.ID, resp.StatusCode))
 		return attemptFailed
 	}
+	if !x.mayAnswer(resp.StatusCode) {
+		x.cause = fmt.Sprintf("runner %s answered %d without saying that the request has not run", runner.ID, resp.StatusCode)
+		return attemptFailed
+	}
 	if ok && x.route.Kind == chivefleet.Streaming {
 		if x.responseStarted && !x.continuesStream(resp) {
 			x.recordFailure(ctx, runner.ID, fmt.Sprintf("runner %s answered %d of type %q, which is no part of the stream", runner.ID, resp.StatusCode, mediaType(resp)))
--- a/internal/run/chiverelay/relay.go
+++ b/internal/run/chiverelay/relay.go
@@ -429,8 +429,12 @@
 	return false
 }
 
-// respondError responds with a status and with the cause as the body.
+// respondError responds with a status and with the cause as the body. The status is 502 in place of
+// one that would promise too much.
 func (x *exchange) respondError(status int, cause string) {
+	if !x.mayAnswer(status) {
+		status = http.StatusBadGateway
+	}
 	x.status, x.cause = status, cause
 	x.firstLatency = chiveclock.Since(x.start)
 	http.Error(x.w, cause, status)
