Answer 429 and 503 at gateways only with the verdict not-run

A gateway answered requests that may have run, of a caller that was gone, an agent that did not answer or a table that lost a change, with 503 or 429 beside the header X-Verdict: may-have-run. A caller that goes by the status sends them again.

Cause: the status followed from the code of the failure alone. It is 502 now where it would promise what the verdict does not, by the same list of statuses as at entry VMs.

TestStatusPromisesNoMore failed before, for eight of the codes.

--- a/internal/peer/chivecaller/error.go
+++ b/internal/peer/chivecaller/error.go
@@ -60,12 +60,17 @@
 	chiveverdict.CodeCanceled:    http.StatusServiceUnavailable,
 }
 
-// Status returns the HTTP status for a failure, which is 500 for unknown codes.
+// Status returns the HTTP status for a failure, which is 500 for unknown codes. It is 502 in place of
+// a status that promises that the request has not run, unless that is the verdict.
 func Status(f *chiveverdict.Failure) int {
-	if s, ok := statuses[f.Code]; ok {
-		return s
+	status, ok := statuses[f.Code]
+	switch {
+	case !ok:
+		return http.StatusInternalServerError
+	case f.Verdict != chiveverdict.NotRun && PromisesNotRun(status):
+		return http.StatusBadGateway
 	}
-	return http.StatusInternalServerError
+	return status
 }
 
 // WriteError answers a request with a failure. Its headers state the verdict and,
