Follow all parts of a prompt that a head can name

Cause: what is known of parts was bounded at three places by what prompts usually have. 32 parts with IDs of up to 64 bytes of the first field were decoded; 256 suspects were kept, and 16 told to other entry VMs, of as many crashes those whose IDs sort first.

All parts of all fields are decoded, with a digest for longer IDs. 16,384 suspects are kept, and of as many crashes the rarest come first. IDs are copied where they outlive their request, the list of the parts counts for its connection, and log lines name 64.

--- a/internal/bench/chivecrowd/entry_test.go
+++ b/internal/bench/chivecrowd/entry_test.go
@@ -237,6 +237,20 @@
 	checkEntry(t, e, 0)
 }
 
+// TestEntryVMManyParts guards against clients that spend the memory of an entry VM with the parts of
+// their prompts, as many as their heads hold, while their bodies arrive.
+func TestEntryVMManyParts(t *testing.T) {
+	_, e := startEntry(t, 0)
+	const size = 16_000
+	crowd := Gather(crowdSize, entryDoors(e)[0], Kind{"parts of a prompt, body held back", func(c net.Conn, d Door) error {
+		return send(c, d.start()+"Content-Length: 1000\r\n"+chiveplatform.HeaderPromptParts+": "+strings.Repeat("a:,", size/3)+"b:1\r\n\r\n")
+	}})
+	defer crowd.Close()
+	checkEntry(t, e, 0)
+	askEntry(t, e)
+	checkEntry(t, e, 0)
+}
+
 // copySize returns the size of the copy of a table.
 func copySize(t *testing.T, d Door) int {
 	t.Helper()
--- a/internal/bench/chiveplatform/crash.go
+++ b/internal/bench/chiveplatform/crash.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// headerPromptParts holds the parts of a prompt.
-const headerPromptParts = "Chiveyoke-Prefix-Hash"
+// HeaderPromptParts is the header field of the parts of a prompt.
+const HeaderPromptParts = "Chiveyoke-Prefix-Hash"
 
 const (
 	// restartTime is how long a runner that has crashed is gone.
--- a/internal/bench/chiveplatform/crash_test.go
+++ b/internal/bench/chiveplatform/crash_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -41,6 +42,26 @@
 	limit: maxCrashesOfPart,
 }
 
+// badPartAmongMany is a part of prompts that crashes runners, with an ID of its own length and behind
+// hundreds of others that sound prompts have too.
+func badPartAmongMany() crashCase {
+	const common = 300
+	id := strings.Repeat("bad", 40)
+	var others strings.Builder
+	for i := range common {
+		_, _ = fmt.Fprintf(&others, "f%x:20,", i)
+	}
+	request := func(name string, n int, parts string) CallerRequest {
+		return CallerRequest{Route: "stream", Path: "x", ID: fmt.Sprint(name, "-", n), Key: "k1", Body: fmt.Sprint(name, " ", n), Parts: others.String() + parts}
+	}
+	return crashCase{
+		crash: func(s *Site) { s.CrashOnPart(id) },
+		sound: func(_ *rand.Rand, n int) CallerRequest { return request("sound", n, fmt.Sprintf("c%x:20", n)) },
+		bad:   func(_ *rand.Rand, n int) CallerRequest { return request("bad", n, fmt.Sprintf("%s:60,d%x:20", id, n)) },
+		limit: maxCrashesOfPart,
+	}
+}
+
 // badRequest returns the case of a request that comes again and again on a route and crashes
 // runners, beside sound ones with the same path, some of them alike too.
 func badRequest(route string) crashCase {
@@ -97,6 +118,13 @@
 	}
 }
 
+// TestPartAmongManyCrashesRunners guards against a part that crashes one runner after the other unseen,
+// since it stands behind many others and has a long ID.
+func TestPartAmongManyCrashesRunners(t *testing.T) {
+	t.Parallel()
+	checkCrashes(t, startSite(t, 80, 4, 6), badPartAmongMany(), func() {})
+}
+
 // TestRequestCrashesRunners guards against one request without parts of a prompt that comes
 // again and crashes one runner after the other, while other requests of the same caller must
 // be served.
--- a/internal/bench/chiveplatform/runner.go
+++ b/internal/bench/chiveplatform/runner.go
@@ -141,7 +141,7 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	crashes := r.crashes.arrive(id, q.Header.Get(headerPromptParts), string(body))
+	crashes := r.crashes.arrive(id, q.Header.Get(HeaderPromptParts), string(body))
 	if pause := r.notices.arrive(id, w.Header()); pause > 0 {
 		w.Header().Set("Chiveyoke-Not-Executed", "1")
 		w.Header().Set("Retry-After", strconv.FormatFloat(pause.Seconds(), 'f', 2, 64))
--- a/internal/bench/chiveplatform/site.go
+++ b/internal/bench/chiveplatform/site.go
@@ -465,7 +465,7 @@
 	req.Header.Set("Chiveyoke-Deadline-Ms", "4000")
 	req.Header.Set("Authorization", "Token "+r.Key)
 	if r.Parts != "" {
-		req.Header.Set(headerPromptParts, r.Parts)
+		req.Header.Set(HeaderPromptParts, r.Parts)
 	}
 	resp, err := client.Do(req)
 	if err != nil {
--- a/internal/policy/chivecost/generations.go
+++ b/internal/policy/chivecost/generations.go
@@ -1,5 +1,7 @@
 package chivecost
 
+import "strings"
+
 // scopeKey names a workspace or a part of a prompt on a route.
 type scopeKey struct {
 	route, name string
@@ -34,6 +36,8 @@
 	if g.young == nil || len(g.young) >= maxGeneration {
 		g.old, g.young = g.young, map[scopeKey]*records{}
 	}
+	// The name may refer to the memory of a whole head.
+	k.name = strings.Clone(k.name)
 	g.young[k] = r
 	return r
 }
--- a/internal/policy/chivesuspect/evidence.go
+++ b/internal/policy/chivesuspect/evidence.go
@@ -1,7 +1,6 @@
 package chivesuspect
 
 import (
-	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -32,8 +31,9 @@
 	// priorRequests is added to the number of requests, so that the first ones of an entry
 	// VM show no high rate of breaks.
 	priorRequests = 50
-	// maxRecords bounds the suspects with crashes of each kind.
-	maxRecords = 256
+	// maxRecords bounds the suspects with crashes of each kind: several times what the head of a
+	// request can name, so that a part which crashes runners is still known at its next crash.
+	maxRecords = 16 << 10
 )
 
 // evidence holds what is known of the suspects of one kind. The zero value is empty.
@@ -89,27 +89,21 @@
 	return news
 }
 
-// suspected returns the suspects with enough crashes to be excluded, in the order of compare.
-func (e *evidence) suspected(compare func(a, b string) int) []string {
-	var list []string
+// suspected returns the suspects of a kind with enough crashes to be excluded, in the order of
+// compare.
+func (e *evidence) suspected(k Kind, compare func(a, b weight) int) []string {
+	var list []weight
 	for id, r := range e.records {
 		if len(r.crashes) >= minCrashes {
-			list = append(list, id)
+			list = append(list, e.weigh(k, id))
 		}
 	}
 	slices.SortFunc(list, compare)
-	return list
-}
-
-// compareRarity orders suspects by the fraction of requests that have them, rarest first.
-func (e *evidence) compareRarity(a, b string) int {
-	return cmp.Or(cmp.Compare(e.history.share(a), e.history.share(b)), e.compareCrashes(a, b))
-}
-
-// compareCrashes orders suspects by the number of their crashes, most first.
-func (e *evidence) compareCrashes(a, b string) int {
-	return cmp.Or(cmp.Compare(len(e.records[b].crashes), len(e.records[a].crashes)),
-		cmp.Compare(e.records[b].lastCrash(), e.records[a].lastCrash()), cmp.Compare(a, b))
+	ids := make([]string, 0, len(list))
+	for _, w := range list {
+		ids = append(ids, w.id)
+	}
+	return ids
 }
 
 // blames reports whether crashes that nothing else explains, among all that are known, show
@@ -186,12 +180,18 @@
 	return true
 }
 
-// prune forgets what is too old or too much.
-func (e *evidence) prune(now time.Duration) {
+// prune forgets what is too old or too much. The suspects are of a kind.
+func (e *evidence) prune(k Kind, now time.Duration) {
 	maps.DeleteFunc(e.records, func(_ string, r *record) bool { return r.prune(now) })
-	if n := len(e.records) - maxRecords; n > 0 {
-		for _, id := range slices.SortedFunc(maps.Keys(e.records), e.compareCrashes)[maxRecords:] {
-			delete(e.records, id)
-		}
+	if len(e.records) <= maxRecords {
+		return
+	}
+	list := make([]weight, 0, len(e.records))
+	for id := range e.records {
+		list = append(list, e.weigh(k, id))
+	}
+	slices.SortFunc(list, weight.compare)
+	for _, w := range list[maxRecords:] {
+		delete(e.records, w.id)
 	}
 }
--- a/internal/policy/chivesuspect/history.go
+++ b/internal/policy/chivesuspect/history.go
@@ -1,12 +1,15 @@
 package chivesuspect
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 const (
 	// historySpan is the least time for which requests are remembered, unless there are
-	// more than maxHistorySuspects suspects.
+	// more than maxHistorySuspects suspects, several times what the head of a request can name.
 	historySpan        = 10 * time.Minute
-	maxHistorySuspects = 4096
+	maxHistorySuspects = 16 << 10
 )
 
 // history counts the requests with each suspect of a kind and remembers when one was last
@@ -22,7 +25,26 @@
 	// requests is the number of requests, breaks that of those that broke off unanswered at
 	// runners which crashed.
 	requests, breaks int
-	suspects         map[string]usage
+	suspects         map[string]*usage
+}
+
+// usage returns what is remembered of a suspect, created on first use.
+func (g *generation) usage(id string) *usage {
+	u := g.suspects[id]
+	if u == nil {
+		u = &usage{}
+		// The ID may refer to the memory of a whole head.
+		g.suspects[strings.Clone(id)] = u
+	}
+	return u
+}
+
+// find returns what is remembered of a suspect.
+func (g *generation) find(id string) usage {
+	if u := g.suspects[id]; u != nil {
+		return *u
+	}
+	return usage{}
 }
 
 // usage is what is remembered of a suspect in one generation.
@@ -31,6 +53,8 @@
 	requests, breaks int
 	// answeredAt is when a request was last answered, 0 if none was.
 	answeredAt time.Duration
+	// latest is the number of the latest request with the suspect.
+	latest int
 }
 
 // addRequest counts a request with the given suspects. One without any does not count.
@@ -41,9 +65,13 @@
 	h.rotate(now)
 	h.current.requests++
 	for _, id := range ids {
-		u := h.current.suspects[id]
+		u := h.current.usage(id)
+		if u.latest == h.current.requests {
+			// The request names it more than once.
+			continue
+		}
 		u.requests++
-		h.current.suspects[id] = u
+		u.latest = h.current.requests
 	}
 }
 
@@ -54,21 +82,17 @@
 	}
 	h.rotate(now)
 	for _, id := range ids {
-		u := h.current.suspects[id]
-		u.answeredAt = now
-		h.current.suspects[id] = u
+		h.current.usage(id).answeredAt = now
 	}
 }
 
 // addBreaks counts requests that broke off unanswered at a runner which crashed, given the
 // number of those with each suspect.
-func (h *history) addBreaks(requests int, counts map[string]int, now time.Duration) {
+func (h *history) addBreaks(requests int, counts map[string]*brokenCount, now time.Duration) {
 	h.rotate(now)
 	h.current.breaks += requests
-	for id, n := range counts {
-		u := h.current.suspects[id]
-		u.breaks += n
-		h.current.suspects[id] = u
+	for id, c := range counts {
+		h.current.usage(id).breaks += c.requests
 	}
 }
 
@@ -77,20 +101,21 @@
 func (h *history) breakRate(id string) float64 {
 	var requests, breaks int
 	for _, g := range []generation{h.current, h.previous} {
-		requests += g.requests - g.suspects[id].requests
-		breaks += g.breaks - g.suspects[id].breaks
+		u := g.find(id)
+		requests += g.requests - u.requests
+		breaks += g.breaks - u.breaks
 	}
 	return float64(breaks) / float64(requests+priorRequests)
 }
 
 // answeredAt returns when a request with the suspect was last answered, or 0.
 func (h *history) answeredAt(id string) time.Duration {
-	return max(h.current.suspects[id].answeredAt, h.previous.suspects[id].answeredAt)
+	return max(h.current.find(id).answeredAt, h.previous.find(id).answeredAt)
 }
 
 // share returns the fraction of the remembered requests that had the suspect.
 func (h *history) share(id string) float64 {
-	with := h.current.suspects[id].requests + h.previous.suspects[id].requests
+	with := h.current.find(id).requests + h.previous.find(id).requests
 	return float64(with) / float64(max(h.requests(), 1))
 }
 
@@ -104,5 +129,5 @@
 	if h.current.suspects != nil && now-h.rotatedAt < historySpan && len(h.current.suspects) < maxHistorySuspects {
 		return
 	}
-	h.previous, h.current, h.rotatedAt = h.current, generation{suspects: map[string]usage{}}, now
+	h.previous, h.current, h.rotatedAt = h.current, generation{suspects: map[string]*usage{}}, now
 }
--- a/internal/policy/chivesuspect/ledger.go
+++ b/internal/policy/chivesuspect/ledger.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -17,8 +18,12 @@
 	// answerSlack is the difference from which a later answer reported by another entry VM
 	// is news. Reports that are passed on grow younger by the delay of the network.
 	answerSlack = time.Second
-	// maxRunners bounds the runners with broken requests or a recent end.
+	// maxRunners bounds the runners with broken requests or a recent end, and maxBroken the
+	// suspects of the broken requests, in which the oldest give way.
 	maxRunners = 256
+	maxBroken  = 32 << 10
+	// updateInterval is the time after which what is too old is forgotten without another event.
+	updateInterval = time.Second
 	// maxSentFacts bounds the suspects of each kind that are sent to other entry VMs.
 	maxSentFacts = 16
 )
@@ -37,8 +42,9 @@
 	// known to have ended, and ended the runners that have, by runner.
 	broken map[string]*brokenRequests
 	ended  map[string]time.Duration
-	// excluded holds until when suspects are excluded.
-	excluded map[Suspect]time.Duration
+	// excluded holds until when suspects are excluded, as of updatedAt.
+	excluded  map[Suspect]time.Duration
+	updatedAt time.Duration
 }
 
 // brokenRequests holds the suspects of the requests that broke off at a runner.
@@ -47,7 +53,12 @@
 	// requests holds the number of the requests with suspects of each kind, and counts that
 	// of those with each suspect.
 	requests [kindCount]int
-	counts   [kindCount]map[string]int
+	counts   [kindCount]map[string]*brokenCount
+}
+
+// brokenCount is the number of broken requests with a suspect, and the number of the latest of them.
+type brokenCount struct {
+	requests, latest int
 }
 
 // add counts a request.
@@ -58,14 +69,29 @@
 		}
 		b.requests[k]++
 		if b.counts[k] == nil {
-			b.counts[k] = map[string]int{}
+			b.counts[k] = map[string]*brokenCount{}
 		}
 		for _, id := range ids {
-			b.counts[k][id]++
+			c := b.counts[k][id]
+			switch {
+			case c == nil:
+				// The ID may refer to the memory of a whole head.
+				b.counts[k][strings.Clone(id)] = &brokenCount{1, b.requests[k]}
+			case c.latest < b.requests[k]:
+				c.requests, c.latest = c.requests+1, b.requests[k]
+			}
 		}
 	}
 }
 
+// size returns the number of suspects.
+func (b *brokenRequests) size() (n int) {
+	for _, counts := range b.counts {
+		n += len(counts)
+	}
+	return n
+}
+
 // AddRequest counts a request with the given suspects.
 func (l *Ledger) AddRequest(s Suspects, now time.Duration) {
 	for k, ids := range s {
@@ -98,13 +124,32 @@
 		b = &brokenRequests{at: now}
 		l.broken[runner] = b
 	}
-	b.add(s)
+	if b.size() < maxBroken {
+		b.add(s)
+	}
+	l.trimBroken()
 	if at, ok := l.ended[runner]; ok && now-at < breakLifetime {
 		return l.AddEnd(runner, now)
 	}
 	return false
 }
 
+// trimBroken forgets the runners whose first request broke off longest ago while there are more
+// than maxBroken suspects of broken requests.
+func (l *Ledger) trimBroken() {
+	size := 0
+	for _, b := range l.broken {
+		size += b.size()
+	}
+	for size > maxBroken && len(l.broken) > 1 {
+		oldest := slices.MinFunc(slices.Collect(maps.Keys(l.broken)), func(a, b string) int {
+			return cmp.Or(cmp.Compare(l.broken[a].at, l.broken[b].at), cmp.Compare(a, b))
+		})
+		size -= l.broken[oldest].size()
+		delete(l.broken, oldest)
+	}
+}
+
 // AddEnd records that a runner has ended other than by a planned stop. It reports whether
 // that was a crash under an unanswered request.
 func (l *Ledger) AddEnd(runner string, now time.Duration) bool {
@@ -149,7 +194,7 @@
 		n = len(r.crashes)
 	}
 	for _, b := range l.broken {
-		if b.counts[s.Kind][s.ID] > 0 {
+		if b.counts[s.Kind][s.ID] != nil {
 			n++
 		}
 	}
@@ -176,7 +221,9 @@
 	if !known {
 		return nil
 	}
-	l.update(now)
+	if now-l.updatedAt >= updateInterval {
+		l.update(now)
+	}
 	var facts []Fact
 	for k := range l.evidence {
 		e := &l.evidence[k]
@@ -192,24 +239,23 @@
 	return facts
 }
 
-// sentSuspects returns the suspects of a kind that other entry VMs are to be told of: first
-// those that are excluded, then those with the most crashes.
+// sentSuspects returns the suspects of a kind that other entry VMs are to be told of.
 func (l *Ledger) sentSuspects(k Kind, now time.Duration) []string {
 	e := &l.evidence[k]
-	var list []string
+	first := make(heaviest, 0, maxSentFacts)
 	for id, r := range e.records {
-		if r.isNews(now) {
-			list = append(list, id)
+		if !r.isNews(now) {
+			continue
 		}
+		w := e.weigh(k, id)
+		_, w.excluded = l.excluded[Suspect{ID: id, Kind: k}]
+		first.add(w)
 	}
-	rank := func(id string) int {
-		if _, ok := l.excluded[Suspect{ID: id, Kind: k}]; ok {
-			return 0
-		}
-		return 1
+	list := make([]string, 0, len(first))
+	for _, w := range first {
+		list = append(list, w.id)
 	}
-	slices.SortFunc(list, func(a, b string) int { return cmp.Or(rank(a)-rank(b), e.compareCrashes(a, b)) })
-	return list[:min(len(list), maxSentFacts)]
+	return list
 }
 
 // Excluded returns the first of the suspects whose requests are kept from runners and the
@@ -241,20 +287,24 @@
 // update forgets what is too old or too much and determines anew which suspects are excluded.
 func (l *Ledger) update(now time.Duration) {
 	l.prune(now)
+	l.updatedAt = now
 	l.excluded = map[Suspect]time.Duration{}
 	parts, requests := &l.evidence[Part], &l.evidence[Request]
-	badParts, badRequests := parts.suspected(parts.compareRarity), requests.suspected(requests.compareCrashes)
+	badParts, badRequests := parts.suspected(Part, weight.compareRarity), requests.suspected(Request, weight.compare)
 	if len(badParts) == 0 && len(badRequests) == 0 {
 		return
 	}
 	all, explained := l.allCrashes(), map[string]bool{}
 	for _, id := range badParts {
-		if !requests.explains(parts.records[id].crashes, all) {
-			l.exclude(Suspect{ID: id, Kind: Part}, all, explained, now)
+		left := unexplained(parts.records[id].crashes, explained)
+		if len(left) > 0 && !requests.explains(parts.records[id].crashes, all) {
+			l.exclude(Suspect{ID: id, Kind: Part}, left, all, explained, now)
 		}
 	}
 	for _, id := range badRequests {
-		l.exclude(Suspect{ID: id, Kind: Request}, all, explained, now)
+		if left := unexplained(requests.records[id].crashes, explained); len(left) > 0 {
+			l.exclude(Suspect{ID: id, Kind: Request}, left, all, explained, now)
+		}
 	}
 }
 
@@ -269,17 +319,29 @@
 	return all
 }
 
-// exclude excludes a suspect if it is to blame for those of all crashes that are not explained
-// yet, and adds its crashes to these.
-func (l *Ledger) exclude(s Suspect, all map[string]time.Duration, explained map[string]bool, now time.Duration) {
+// unexplained returns the moments of those crashes that are not explained, by runner.
+func unexplained(crashes map[string]time.Duration, explained map[string]bool) map[string]time.Duration {
+	var left map[string]time.Duration
+	for runner, at := range crashes {
+		if explained[runner] {
+			continue
+		}
+		if left == nil {
+			left = map[string]time.Duration{}
+		}
+		left[runner] = at
+	}
+	return left
+}
+
+// exclude excludes a suspect if it is to blame for those of all crashes that are left, which nothing
+// else explains, and adds its crashes to the explained ones.
+func (l *Ledger) exclude(s Suspect, left, all map[string]time.Duration, explained map[string]bool, now time.Duration) {
 	e := &l.evidence[s.Kind]
-	r := e.records[s.ID]
-	left := maps.Clone(r.crashes)
-	maps.DeleteFunc(left, func(runner string, _ time.Duration) bool { return explained[runner] })
 	if !e.blames(s.ID, left, all) {
 		return
 	}
-	for runner := range r.crashes {
+	for runner := range e.records[s.ID].crashes {
 		explained[runner] = true
 	}
 	if until := slices.Max(slices.Collect(maps.Values(left))) + exclusionTime; now < until {
@@ -292,6 +354,6 @@
 	maps.DeleteFunc(l.broken, func(_ string, b *brokenRequests) bool { return now-b.at > breakLifetime })
 	maps.DeleteFunc(l.ended, func(_ string, at time.Duration) bool { return now-at > breakLifetime })
 	for k := range l.evidence {
-		l.evidence[k].prune(now)
+		l.evidence[k].prune(Kind(k), now)
 	}
 }
--- a/internal/policy/chivesuspect/record.go
+++ b/internal/policy/chivesuspect/record.go
@@ -26,6 +26,8 @@
 type record struct {
 	// crashes holds the moment of each crash since the suspect was last answered, by runner.
 	crashes map[string]time.Duration
+	// first and last are the earliest and the latest of these moments, 0 if there is none.
+	first, last time.Duration
 	// answeredAt is when a request with the suspect was last answered anywhere, or 0.
 	answeredAt time.Duration
 	// suspectedAt is when a crash was last seen or reported, also if the suspect was answered
@@ -43,29 +45,36 @@
 	// The earliest report is closest to the truth.
 	if at > r.answeredAt && (!ok || at < known) {
 		r.crashes[runner] = at
+		r.setSpan()
 	}
 	return at > r.answeredAt && !ok
 }
 
 // addAnswer clears the suspect of all earlier crashes. It reports whether there were any.
 func (r *record) addAnswer(at time.Duration) bool {
-	before := len(r.crashes)
 	r.answeredAt = at
+	if len(r.crashes) == 0 || r.first > at {
+		return false
+	}
 	maps.DeleteFunc(r.crashes, func(_ string, crashedAt time.Duration) bool { return crashedAt <= at })
-	return len(r.crashes) < before
+	r.setSpan()
+	return true
 }
 
-// lastCrash returns the moment of the latest crash, or 0 if there is none.
-func (r *record) lastCrash() (last time.Duration) {
+// setSpan sets first and last.
+func (r *record) setSpan() {
+	r.first, r.last = 0, 0
 	for _, at := range r.crashes {
-		last = max(last, at)
+		if r.first == 0 || at < r.first {
+			r.first = at
+		}
+		r.last = max(r.last, at)
 	}
-	return last
 }
 
 // isNews reports whether other entry VMs are to be told of the suspect.
 func (r *record) isNews(now time.Duration) bool {
-	return len(r.crashes) == 0 || len(r.crashes) >= minCrashes || now-r.lastCrash() < tellingTime
+	return len(r.crashes) == 0 || len(r.crashes) >= minCrashes || now-r.last < tellingTime
 }
 
 // sentCrashes returns the crashes to send to other entry VMs.
@@ -81,11 +90,19 @@
 // prune forgets crashes that are too old or too many. It reports whether the record is of no
 // more use.
 func (r *record) prune(now time.Duration) (useless bool) {
+	if len(r.crashes) > maxRecordCrashes || now-r.first > evidenceLifetime {
+		r.pruneCrashes(now)
+	}
+	return len(r.crashes) == 0 && now-r.suspectedAt > clearedLifetime
+}
+
+// pruneCrashes forgets crashes that are too old or too many.
+func (r *record) pruneCrashes(now time.Duration) {
 	maps.DeleteFunc(r.crashes, func(_ string, at time.Duration) bool { return now-at > evidenceLifetime })
 	for len(r.crashes) > maxRecordCrashes {
 		delete(r.crashes, oldest(r.crashes))
 	}
-	return len(r.crashes) == 0 && now-r.suspectedAt > clearedLifetime
+	r.setSpan()
 }
 
 // oldest returns the runner with the earliest crash.
--- a/internal/run/chiverelay/admit.go
+++ b/internal/run/chiverelay/admit.go
@@ -42,7 +42,7 @@
 	x.service = x.pickService()
 	x.setDeadline()
 	x.holding.id = request.ID
-	if !x.holding.admit(max(0, x.r.ContentLength)) {
+	if !x.holding.admit(max(0, x.r.ContentLength)) || !x.holdParts() {
 		return x.refuse(causeNoMemory)
 	}
 	return x.readBody()
--- a/internal/run/chiverelay/dialect.go
+++ b/internal/run/chiverelay/dialect.go
@@ -24,7 +24,8 @@
 	Cost float64
 	// Stated holds what the caller says of the lengths of its prompt and its answer.
 	Stated chivecost.Statement
-	// Parts holds the IDs of those parts of the prompt that other prompts may share.
+	// Parts holds the IDs of those parts of the prompt that other prompts may share. They refer to
+	// the memory of the head.
 	Parts []string
 }
 
--- a/internal/run/chiverelay/relay.go
+++ b/internal/run/chiverelay/relay.go
@@ -243,7 +243,7 @@
 		}
 		retry := ctx.Err() == nil && (next != nil || x.mayRetry())
 		x.relay.Log.Info("Attempt failed.", "request", x.request.ID, "runner", runner.ID, "attempt", x.attempts, "cause", x.cause,
-			"ran", x.mayHaveRun, "again", retry, "moved", next != nil, "left", formatMillis(chiveclock.Until(x.deadline)), "event", x.lastEvent, "parts", x.request.Parts, "fingerprint", x.fingerprint)
+			"ran", x.mayHaveRun, "again", retry, "moved", next != nil, "left", formatMillis(chiveclock.Until(x.deadline)), "event", x.lastEvent, "parts", x.loggedParts(), "fingerprint", x.fingerprint)
 		if next != nil && (!retry || !x.recheckKey()) {
 			x.relay.State.Release(next.ID)
 			retry, next = false, nil
