Confirm a configuration only by its own row

The configuration in force was confirmed as the newest by each answer of the store, whatever its row said (CONFIG).

An answer confirms it only if its row is that configuration.

--- a/internal/run/chiveentry/tracker.go
+++ b/internal/run/chiveentry/tracker.go
@@ -212,6 +212,9 @@
 	if inForce == nil {
 		return true
 	}
+	if !t.isStored(table, inForce) {
+		return false
+	}
 	// A store that tells no era does not return from older copies.
 	if table.Era != 0 && !t.confirmedByPeers(inForce) {
 		return false
@@ -219,7 +222,18 @@
 	if t.lastRestore == 0 {
 		return true
 	}
-	return t.storedConfig >= inForce.Version && table.Confirmed.Sub(t.lastRestore) >= restoreGrace
+	return table.Confirmed.Sub(t.lastRestore) >= restoreGrace
+}
+
+// isStored reports whether a replica has the row of a configuration that could be decoded and is not
+// older than the one in force. Another row may have taken keys away.
+func (t *Tracker) isStored(table chivefollow.Table, inForce *chivefleet.Config) bool {
+	for key, r := range table.Rows {
+		if isConfig, _ := t.codec.Operator(key); isConfig {
+			return r.Version <= t.configRowVersion && t.storedConfig >= inForce.Version
+		}
+	}
+	return false
 }
 
 // confirmedByPeers reports whether no peer has told of a newer configuration. A process that has
--- a/internal/run/chiveentry/tracker_test.go
+++ b/internal/run/chiveentry/tracker_test.go
@@ -142,6 +142,47 @@
 	}
 }
 
+// TestUnreadableConfigConfirmsNothing guards against keys that stay alive for good since the version that
+// took them away can't be decoded, counts as older or was removed: the one in force before was confirmed
+// as the newest all the while (CONFIG).
+func TestUnreadableConfigConfirmsNothing(t *testing.T) {
+	config := func(value []byte, row int64) chivefollow.Row {
+		return chivefollow.Row{Key: "config", Value: value, Version: row}
+	}
+	tests := []struct {
+		give  string
+		rows  []chivefollow.Row
+		want  bool
+		force int64
+	}{
+		{"the same", []chivefollow.Row{config([]byte{9}, 30)}, true, 9},
+		{"a later row of the same version", []chivefollow.Row{config([]byte{9}, 31)}, true, 9},
+		{"a newer version", []chivefollow.Row{config([]byte{12}, 31)}, true, 12},
+		{"one that is malformed", []chivefollow.Row{config([]byte("no configuration"), 31)}, false, 9},
+		{"an empty one", []chivefollow.Row{config(nil, 31)}, false, 9},
+		{"an older version", []chivefollow.Row{config([]byte{7}, 31)}, false, 9},
+		{"none", []chivefollow.Row{{Key: "z", Version: 31}}, false, 9},
+	}
+	for _, tt := range tests {
+		for _, era := range []int64{0, 1} {
+			tr := newTracker()
+			first := chiveclock.Now().Add(-time.Hour)
+			tr.applyOperators(chivefollow.Table{Era: era, Confirmed: first, Rows: rows(config([]byte{9}, 30))})
+			table := chivefollow.Table{Era: era, Confirmed: chiveclock.Now(), Rows: rows(tt.rows...)}
+			tr.applyOperators(table)
+			tr.applyOperators(table)
+			f := tr.Fleet()
+			if confirmed := f.ConfigConfirmedAt != first; confirmed != tt.want || f.Config.Version != tt.force {
+				t.Errorf("%s, era %d: version %d is in force, confirmed %t, want %d, %t", tt.give, era, f.Config.Version, confirmed, tt.force, tt.want)
+			}
+			tr.applyOperators(chivefollow.Table{Era: era, Confirmed: chiveclock.Now(), Rows: rows(config([]byte{15}, 40))})
+			if f := tr.Fleet(); f.Config.Version != 15 || f.ConfigConfirmedAt == first {
+				t.Errorf("%s, era %d: the next version is not in force", tt.give, era)
+			}
+		}
+	}
+}
+
 // TestZoneEvacuation checks that a zone is evacuated while the operators' table has a
 // row for it.
 func TestZoneEvacuation(t *testing.T) {
