Log the revision of the build and whether requests need keys

Started. names the revision that the build recorded, Configuration is in force. has keys=true or false.

--- a/internal/run/chiveentry/daemon.go
+++ b/internal/run/chiveentry/daemon.go
@@ -294,7 +294,7 @@
 	if d.doors.MaxConns > 0 {
 		d.log.Info("Connections are limited.", "files", d.settings.MaxFiles, "connections", d.doors.MaxConns)
 	}
-	d.log.Info("Started.", "zone", d.settings.Entry.Zone, "callers", d.settings.Entry.CallerAddr, "boot", d.settings.Entry.Boot)
+	d.log.Info("Started.", "zone", d.settings.Entry.Zone, "callers", d.settings.Entry.CallerAddr, "boot", d.settings.Entry.Boot, "revision", chivedaemon.Revision())
 	return group.Run()
 }
 
--- a/internal/run/chiveentry/tracker.go
+++ b/internal/run/chiveentry/tracker.go
@@ -269,7 +269,7 @@
 		t.log.Warn("Configuration is older than the one in force.", "version", c.Version, "force", current.Version)
 		return nil
 	}
-	t.log.Info("Configuration is in force.", "version", c.Version, "routes", len(c.Routes), "workspaces", len(c.Workspaces))
+	t.log.Info("Configuration is in force.", "version", c.Version, "routes", len(c.Routes), "workspaces", len(c.Workspaces), "keys", c.RequiresKey())
 	return c
 }
 
