Decide again on a request whose body has arrived

Cause: route, workspace and service were chosen for the head. Before a runner was chosen it was only checked that the key is known, not to whom it belongs.

They are chosen anew if the configuration has changed when the body has arrived, and each attempt needs the key to belong to the same workspace still.

--- a/internal/run/chiverelay/admit.go
+++ b/internal/run/chiverelay/admit.go
@@ -23,7 +23,21 @@
 	}
 	x.request, x.lastEvent = request, request.LastEvent
 	x.setReadDeadline(time.Now().Add(cmp.Or(request.Timeout, defaultTimeout)))
-	x.fleet = rl.Fleet()
+	if !x.decide() {
+		return false
+	}
+	x.holding.id = request.ID
+	if !x.holding.admit(max(0, x.r.ContentLength)) || !x.holdParts() {
+		return x.refuse(causeNoMemory)
+	}
+	// The configuration may have changed while the body arrived.
+	return x.readBody() && (rl.Fleet().Config == x.fleet.Config || x.decide())
+}
+
+// decide selects the route, the workspace and the service of the request by the newest configuration. It
+// reports whether the request is admitted; if not, it has responded.
+func (x *exchange) decide() bool {
+	x.fleet = x.relay.Fleet()
 	if x.fleet.Config == nil {
 		x.unavailable = true
 		return x.refuse("no configuration is known yet")
@@ -41,11 +55,7 @@
 	}
 	x.service = x.pickService()
 	x.setDeadline()
-	x.holding.id = request.ID
-	if !x.holding.admit(max(0, x.r.ContentLength)) || !x.holdParts() {
-		return x.refuse(causeNoMemory)
-	}
-	return x.readBody()
+	return true
 }
 
 // causeNoMemory is the cause of requests that are refused for want of memory.
@@ -69,6 +79,7 @@
 // checkKey looks up the workspace of the request's key if the route needs one. It
 // reports whether the request is admitted; if not, it has responded.
 func (x *exchange) checkKey(fresh bool) bool {
+	x.workspace = nil
 	if x.route.Public || !x.fleet.Config.RequiresKey() {
 		return true
 	}
--- a/internal/run/chiverelay/relay.go
+++ b/internal/run/chiverelay/relay.go
@@ -331,7 +331,7 @@
 }
 
 // recheckKey updates the view of the fleet and reports whether the newest
-// configuration still admits the request's key.
+// configuration still admits the request's key, for the same workspace.
 func (x *exchange) recheckKey() bool {
 	x.fleet = x.relay.Fleet()
 	if x.workspace == nil {
@@ -341,11 +341,16 @@
 		x.cause = "the keys may be out of date"
 		return false
 	}
-	if x.fleet.Config.Workspace(x.request.Key) == nil {
+	w := x.fleet.Config.Workspace(x.request.Key)
+	switch {
+	case w == nil:
 		x.cause = "the key was taken away"
-		return false
+	case w.Name != x.workspace.Name:
+		x.cause = "the key was given to another workspace"
+	default:
+		return true
 	}
-	return true
+	return false
 }
 
 // mayRetry reports whether the request may be sent again: not at once if there was no memory for
