Reject keys that a configuration without tenants does not hold

A version in which the list of tenants is missing or null, after one with keys, let requests run with the key that it took away (CONFIG) and with keys that no configuration ever held (ROUTE).

A key that the newest configuration does not hold is answered 401.

TestKeysWithoutWorkspaces and the case of TestKeyChangesWhileBodyArrives without a list failed before.

--- a/internal/run/chiverelay/admit.go
+++ b/internal/run/chiverelay/admit.go
@@ -76,11 +76,12 @@
 	return x.fleet.IsConfigFresh(chiveclock.Now(), x.relay.ConfigMaxAge)
 }
 
-// checkKey looks up the workspace of the request's key if the route needs one. It
-// reports whether the request is admitted; if not, it has responded.
+// checkKey looks up the workspace of the request's key if the route needs one. A configuration without
+// workspaces needs none, but a key that the request has was taken away, or never held. It reports
+// whether the request is admitted; if not, it has responded.
 func (x *exchange) checkKey(fresh bool) bool {
 	x.workspace = nil
-	if x.route.Public || !x.fleet.Config.RequiresKey() {
+	if x.route.Public || x.request.Key == "" && !x.fleet.Config.RequiresKey() {
 		return true
 	}
 	if !fresh {
--- a/internal/run/chiverelay/key_change_test.go
+++ b/internal/run/chiverelay/key_change_test.go
@@ -72,6 +72,7 @@
 	{"the workspace keeps no key", []chivefleet.Workspace{{Name: "w"}}, http.StatusUnauthorized, ""},
 	{"the workspace is gone", []chivefleet.Workspace{{Name: "v", Keys: []string{"k2"}}}, http.StatusUnauthorized, ""},
 	{"no workspace is left", []chivefleet.Workspace{}, http.StatusUnauthorized, ""},
+	{"there is no list of workspaces", nil, http.StatusUnauthorized, ""},
 }
 
 // TestKeyChangesWhileBodyArrives guards against requests that run for a workspace which no longer holds
@@ -128,3 +129,36 @@
 		}
 	}
 }
+
+// TestKeysWithoutWorkspaces guards against requests that run with a key which was taken away by a
+// configuration without a list of workspaces, or which none ever held (CONFIG, ROUTE). Requests without
+// a key run, and on public routes those with any.
+func TestKeysWithoutWorkspaces(t *testing.T) {
+	s := newTestCluster(t, 99, 0)
+	s.mu.Lock()
+	s.fleet.Config.Routes[0].Public = true
+	s.mu.Unlock()
+	s.changeWorkspaces(t, nil)
+	for _, tt := range []struct {
+		kind, key string
+		want      int
+	}{
+		{"any", "k", http.StatusUnauthorized}, {"any", "other", http.StatusUnauthorized}, {"any", "", http.StatusOK},
+		{"once", "k", http.StatusOK}, {"once", "", http.StatusOK},
+	} {
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, s.server.URL+"/"+tt.kind+"/x", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("Id", tt.kind+tt.key)
+		req.Header.Set("Key", tt.key)
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		if ran := s.runs(tt.kind+tt.key) > 0; resp.StatusCode != tt.want || ran != (tt.want == http.StatusOK) {
+			t.Errorf("%s with key %q: status %d, ran %t, want %d", tt.kind, tt.key, resp.StatusCode, ran, tt.want)
+		}
+	}
+}
