Take a key away in every form, beside other trouble

TestKeyTakenAwayInAnyForm takes a key away in six forms, alone, while the store is silent, while the hub is suspended, and while entry VMs start anew.

--- a/internal/bench/chiveplatform/site.go
+++ b/internal/bench/chiveplatform/site.go
@@ -64,10 +64,10 @@
 	program string
 	// net is the second byte of all addresses.
 	net byte
-	// configMu is held while a version of the configuration is written. keys holds the
-	// API keys of the version that was written last.
+	// configMu is held while a version of the configuration is written. tenants is the list of
+	// tenants of the version that was written last, or noTenants.
 	configMu sync.Mutex
-	keys     []string
+	tenants  any
 	history  configHistory
 	servers  []*http.Server
 }
@@ -207,9 +207,17 @@
 // Configure writes a new version of the configuration, in which exactly the given API
 // keys are valid.
 func (s *Site) Configure(keys ...string) error {
+	return s.configureTenants([]any{map[string]any{"name": "team", "api-keys": keys}})
+}
+
+// noTenants stands for the tenants of a configuration without a list of them.
+type noTenants struct{}
+
+// configureTenants writes a new version of the configuration with the given list of tenants.
+func (s *Site) configureTenants(list any) error {
 	s.configMu.Lock()
 	defer s.configMu.Unlock()
-	s.keys = keys
+	s.tenants = list
 	return s.writeConfig()
 }
 
@@ -240,13 +248,17 @@
 		route("stream", "streaming"), route("once", "non_idempotent"), route("any", "idempotent"),
 		route(versionRoute(version), "idempotent"), route(versionRoute(version-1), "idempotent"),
 	}
-	return s.Store.Put(platform.TableOperators, "config", map[string]any{
+	config := map[string]any{
 		"version":  version,
 		"routes":   routes,
 		"services": []any{map[string]any{"name": "svc", "max-connections": 200}},
 		"limits":   map[string]any{"max-body-bytes": 1 << 20},
-		"tenants":  []any{map[string]any{"name": "team", "api-keys": s.keys}},
-	})
+		"tenants":  s.tenants,
+	}
+	if s.tenants == (noTenants{}) {
+		delete(config, "tenants")
+	}
+	return s.Store.Put(platform.TableOperators, "config", config)
 }
 
 // Start starts the process of the entry VM. It appends to the log of earlier
