Know requests that crash runners without their query

A request with a query has two fingerprints, with and without it, and the narrower one is blamed where both could be, so that sound queries of the path go on.

--- a/internal/bench/chiveplatform/crash_test.go
+++ b/internal/bench/chiveplatform/crash_test.go
@@ -82,6 +82,22 @@
 	}
 }
 
+// badPath is the case of requests with the same path, caller and body that crash runners, each with a
+// query of its own, beside sound ones with other paths.
+func badPath() crashCase {
+	request := func(name string, n int, path, body string) CallerRequest {
+		return CallerRequest{Route: "any", Path: fmt.Sprintf("%s?t=%d", path, n), ID: fmt.Sprint(name, "-", n), Key: "k1", Body: body}
+	}
+	return crashCase{
+		crash: func(s *Site) { s.CrashOnBody("bad") },
+		sound: func(rng *rand.Rand, n int) CallerRequest {
+			return request("sound", n, fmt.Sprint("list-", rng.IntN(5)), "sound")
+		},
+		bad:   func(_ *rand.Rand, n int) CallerRequest { return request("bad", n, "list-0", "bad") },
+		limit: maxCrashesOfRequest,
+	}
+}
+
 // crashTroubles are what else happens while requests crash runners.
 var crashTroubles = []struct {
 	give   string
@@ -125,6 +141,13 @@
 	checkCrashes(t, startSite(t, 80, 4, 6), badPartAmongMany(), func() {})
 }
 
+// TestPathCrashesRunners guards against requests that crash one runner after the other unseen, since
+// each has a query of its own.
+func TestPathCrashesRunners(t *testing.T) {
+	t.Parallel()
+	checkCrashes(t, startSite(t, 81, 4, 6), badPath(), func() {})
+}
+
 // TestRequestCrashesRunners guards against one request without parts of a prompt that comes
 // again and crashes one runner after the other, while other requests of the same caller must
 // be served.
--- a/internal/policy/chivesuspect/ledger_test.go
+++ b/internal/policy/chivesuspect/ledger_test.go
@@ -390,3 +390,34 @@
 	// special
 	// ""
 }
+
+// TestNarrowerRequestIsBlamed guards against refusals of requests with other queries if only one query
+// crashes runners, and against runners that crash under requests of which each has another query.
+func TestNarrowerRequestIsBlamed(t *testing.T) {
+	crash := func(query func(n int) string) *Ledger {
+		l, now := &Ledger{}, time.Minute
+		for n := range 4 {
+			s := Suspects{Request: {query(n), "path"}}
+			l.AddRequest(s, now)
+			l.AddBreak(fmt.Sprint("r", n), s, now)
+			l.AddEnd(fmt.Sprint("r", n), now)
+			now += 2 * time.Second
+		}
+		return l
+	}
+	tests := []struct {
+		give  string
+		query func(n int) string
+		want  string
+	}{
+		{"the same query", func(int) string { return "!query" }, "!query"},
+		{"queries of their own", func(n int) string { return fmt.Sprint("!query-", n) }, "path"},
+	}
+	for _, tt := range tests {
+		l := crash(tt.query)
+		now := time.Minute + 8*time.Second
+		if got := l.AllExcluded(now); len(got) != 1 || got[Suspect{ID: tt.want, Kind: Request}] == 0 {
+			t.Errorf("%s: excluded %v, want %s", tt.give, got, tt.want)
+		}
+	}
+}
--- a/internal/run/chiverelay/crash_guard.go
+++ b/internal/run/chiverelay/crash_guard.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -206,7 +207,7 @@
 
 // suspects returns what may crash the runners that the request reaches.
 func (x *exchange) suspects() chivesuspect.Suspects {
-	return chivesuspect.Suspects{chivesuspect.Part: x.request.Parts, chivesuspect.Request: {x.fingerprint}}
+	return chivesuspect.Suspects{chivesuspect.Part: x.request.Parts, chivesuspect.Request: x.fingerprints}
 }
 
 // isExcluded reports whether the request or a part of its prompt crashes runners, and sets the
@@ -227,7 +228,9 @@
 // mayCrashNext reports whether the request, whose latest attempt has broken off unanswered, may
 // crash the next runner too: it has broken off at more than one.
 func (x *exchange) mayCrashNext() bool {
-	return x.brokeOff && x.relay.Crashes.breaks(chivesuspect.Suspect{ID: x.fingerprint, Kind: chivesuspect.Request}) > 1
+	return x.brokeOff && slices.ContainsFunc(x.fingerprints, func(id string) bool {
+		return x.relay.Crashes.breaks(chivesuspect.Suspect{ID: id, Kind: chivesuspect.Request}) > 1
+	})
 }
 
 // noteBreak records that the request broke off unanswered at a runner, and finds out whether
--- a/internal/run/chiverelay/crash_guard_test.go
+++ b/internal/run/chiverelay/crash_guard_test.go
@@ -98,7 +98,7 @@
 func TestExcludedRequest(t *testing.T) {
 	s := newTestCluster(t, 73, 0)
 	exclude := func(workspace, uri, body string) {
-		id := fingerprint(workspace, http.MethodPost, "127.0.0.1", uri, []byte(body))
+		id := fingerprints(workspace, http.MethodPost, "127.0.0.1", uri, []byte(body))[0]
 		fact := chivesuspect.Fact{Suspect: chivesuspect.Suspect{ID: id, Kind: chivesuspect.Request}}
 		for i := range 5 {
 			fact.Crashes = append(fact.Crashes, chivesuspect.Crash{Runner: fmt.Sprint(workspace, uri, i), Age: time.Duration(i) * 2 * time.Second})
@@ -158,7 +158,7 @@
 // busy runner because requests that are alike have ended runners before.
 func TestRefusedRequestIsSentOn(t *testing.T) {
 	s := newTestCluster(t, 79, 0)
-	fact := chivesuspect.Fact{Suspect: chivesuspect.Suspect{ID: fingerprint("w", http.MethodPost, "127.0.0.1", "/any/x", []byte("body")), Kind: chivesuspect.Request}}
+	fact := chivesuspect.Fact{Suspect: chivesuspect.Suspect{ID: fingerprints("w", http.MethodPost, "127.0.0.1", "/any/x", []byte("body"))[0], Kind: chivesuspect.Request}}
 	for i := range 2 {
 		fact.Crashes = append(fact.Crashes, chivesuspect.Crash{Runner: fmt.Sprint("former-", i), Age: time.Minute})
 	}
--- a/internal/run/chiverelay/relay.go
+++ b/internal/run/chiverelay/relay.go
@@ -107,12 +107,12 @@
 	readDeadline time.Time
 	// holding counts the memory that is held for the request.
 	holding *holding
-	// fingerprint is that of the request, set once it is admitted.
-	fingerprint string
-	fleet       *chivefleet.Fleet
-	route       *chivefleet.Route
-	service     *chivefleet.Service
-	workspace   *chivefleet.Workspace
+	// fingerprints are those of the request, set once it is admitted.
+	fingerprints []string
+	fleet        *chivefleet.Fleet
+	route        *chivefleet.Route
+	service      *chivefleet.Service
+	workspace    *chivefleet.Workspace
 	// work is the expected work of the request, in usual requests of the service. estimate
 	// holds what it rests on if the service is balanced by work, and charged the work that the
 	// workspace was charged with.
@@ -213,7 +213,7 @@
 // forward sends the request to runners until one responds or no further attempt is
 // allowed.
 func (x *exchange) forward() {
-	x.fingerprint = fingerprint(x.workspaceName(), x.r.Method, x.r.Host, requestTarget(x.r), x.body)
+	x.fingerprints = fingerprints(x.workspaceName(), x.r.Method, x.r.Host, requestTarget(x.r), x.body)
 	x.relay.State.CountRequest(x.service.Name)
 	x.relay.Crashes.countRequest(x.suspects())
 	x.estimateWork()
@@ -243,7 +243,7 @@
 		}
 		retry := ctx.Err() == nil && (next != nil || x.mayRetry())
 		x.relay.Log.Info("Attempt failed.", "request", x.request.ID, "runner", runner.ID, "attempt", x.attempts, "cause", x.cause,
-			"ran", x.mayHaveRun, "again", retry, "moved", next != nil, "left", formatMillis(chiveclock.Until(x.deadline)), "event", x.lastEvent, "parts", x.loggedParts(), "fingerprint", x.fingerprint)
+			"ran", x.mayHaveRun, "again", retry, "moved", next != nil, "left", formatMillis(chiveclock.Until(x.deadline)), "event", x.lastEvent, "parts", x.loggedParts(), "fingerprints", x.fingerprints)
 		if next != nil && (!retry || !x.recheckKey()) {
 			x.relay.State.Release(next.ID)
 			retry, next = false, nil
