--- a/internal/run/chiverelay/prompt_test.go
+++ b/internal/run/chiverelay/prompt_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/chiveyoke/chiveyoke/internal/policy/chivebudget"
 )
@@ -31,6 +32,11 @@
 		if g := s.sendPrompt(t.Context(), t, "/any/x", tt.give, "", strings.Join(tt.parts, " ")); g.status != tt.status {
 			t.Errorf("%s: status %d, want %d", tt.give, g.status, tt.status)
 		}
+		// The caller may have its answer before the exchange ends.
+		deadline := time.Now().Add(5 * time.Second)
+		for s.relay.Memory.Counts().Held != 0 && time.Now().Before(deadline) {
+			time.Sleep(time.Millisecond)
+		}
 		if held := s.relay.Memory.Counts().Held; held != 0 {
 			t.Errorf("%s: %d bytes are held afterwards", tt.give, held)
 		}
