--- a/internal/bench/chiveplatform/crash_test.go
+++ b/internal/bench/chiveplatform/crash_test.go
@@ -7,7 +7,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 )
@@ -112,11 +111,7 @@
 	{"entry VMs start anew, one after the other", func(t *testing.T, s *Site) {
 		time.Sleep(2 * time.Second)
 		for _, e := range s.EntryVMs {
-			e.Signal(syscall.SIGKILL)
-			e.WaitExit(shutdownGrace)
-			if err := e.Start(); err != nil {
-				t.Error(err)
-			}
+			startAnew(t, e)
 			time.Sleep(2 * time.Second)
 		}
 	}},
--- a/internal/bench/chiveplatform/revocation_test.go
+++ b/internal/bench/chiveplatform/revocation_test.go
@@ -40,11 +40,7 @@
 	{"entry VMs start anew while the store is busy", func(t *testing.T, s *Site) {
 		s.Store.SetFault(StoreBusy)
 		for _, e := range s.EntryVMs {
-			e.Signal(syscall.SIGKILL)
-			e.WaitExit(shutdownGrace)
-			if err := e.Start(); err != nil {
-				t.Error(err)
-			}
+			startAnew(t, e)
 		}
 		time.Sleep(2 * time.Second)
 		s.Store.SetFault(StoreHealthy)
--- a/internal/bench/chiveplatform/site_test.go
+++ b/internal/bench/chiveplatform/site_test.go
@@ -176,6 +176,16 @@
 	}
 }
 
+// startAnew kills the process of an entry VM and starts it again.
+func startAnew(t *testing.T, e *EntryVM) {
+	t.Helper()
+	e.Signal(syscall.SIGKILL)
+	e.WaitExit(shutdownGrace)
+	if err := e.Start(); err != nil {
+		t.Error(err)
+	}
+}
+
 // TestKeyRevocation checks that no entry VM accepts a revoked key after the bound, even
 // if the store stops answering at the moment of the revocation.
 func TestKeyRevocation(t *testing.T) {
--- a/internal/run/chiverelay/last_key_test.go
+++ b/internal/run/chiverelay/last_key_test.go
@@ -14,15 +14,7 @@
 	if status, _ := s.sendComplete(t, "once", "before"); status != http.StatusOK {
 		t.Fatalf("status %d with the key", status)
 	}
-	s.mu.Lock()
-	config := &chivefleet.Config{Version: 2, Services: s.fleet.Config.Services, Routes: s.fleet.Config.Routes, Workspaces: []chivefleet.Workspace{}}
-	if err := config.Index(); err != nil {
-		t.Fatal(err)
-	}
-	next := *s.fleet
-	next.Config = config
-	s.fleet = &next
-	s.mu.Unlock()
+	s.changeWorkspaces(t, []chivefleet.Workspace{})
 	for _, kind := range []string{"once", "any", "stream"} {
 		if status, _ := s.sendComplete(t, kind, "after "+kind); status != http.StatusUnauthorized || s.runs("after "+kind) > 0 {
 			t.Errorf("%s: status %d, %d runs after the last key was taken away", kind, status, s.runs("after "+kind))
