--- a/internal/policy/chivesuspect/size_test.go
+++ b/internal/policy/chivesuspect/size_test.go
@@ -22,59 +22,86 @@
 	return slices.Insert(list, at, one)
 }
 
+// manyParts is a series of prompts of which one part crashes runners.
+type manyParts struct {
+	// size is the number of the other parts, and at the place of the bad one among them.
+	size, at int
+	bad      string
+	// shared reports whether the other parts are those of sound prompts, or new in each prompt.
+	shared bool
+}
+
+// sound returns a prompt that crashes no runner.
+func (m manyParts) sound() Suspects {
+	return Suspects{Part: partsWith("a", m.size, "sound", 0)}
+}
+
+// prompt returns prompt number n with the bad part.
+func (m manyParts) prompt(n int) Suspects {
+	prefix := "a"
+	if !m.shared {
+		prefix = fmt.Sprintf("own%d-", n)
+	}
+	return Suspects{Part: partsWith(prefix, m.size, m.bad, m.at)}
+}
+
+// play sends bad prompts to entry VMs in turn, and sound ones in between, which are answered. It returns
+// the number of crashes and when the last prompt was sent.
+func (m manyParts) play(ledgers []*Ledger) (crashes int, now time.Duration) {
+	const prompts, soundPrompts = 20, 10
+	sound := m.sound()
+	now = time.Minute
+	for n := range prompts {
+		l := ledgers[n%len(ledgers)]
+		for range soundPrompts {
+			now += 20 * time.Millisecond
+			l.AddRequest(sound, now)
+			l.AddAnswer(sound, now)
+		}
+		now += 300 * time.Millisecond
+		s := m.prompt(n)
+		l.AddRequest(s, now)
+		if _, left := l.Excluded(s, now); left > 0 {
+			continue
+		}
+		crashes++
+		l.AddBreak(fmt.Sprint("r", n), s, now)
+		l.AddEnd(fmt.Sprint("r", n), now+100*time.Millisecond)
+		now += 200 * time.Millisecond
+		for _, other := range ledgers {
+			if other != l {
+				other.Merge(l.Facts(now), 50*time.Millisecond, now)
+			}
+		}
+	}
+	return crashes, now
+}
+
 // TestPartIsFoundAmongMany guards against a part that crashes runners unseen since the prompts have
 // more parts than are remembered or told (BUDGET): wherever it stands, whatever its ID, and whether the
 // others are those of sound prompts or new in each prompt. Prompts with the other parts go on.
 func TestPartIsFoundAmongMany(t *testing.T) {
 	t.Parallel()
-	const entries = 3
+	var tests []manyParts
 	for _, size := range []int{2, 38, 300, maxHeadParts} {
 		for _, bad := range []string{"0", "zz"} {
 			for _, at := range []int{0, size / 2, size} {
-				for _, shared := range []bool{true, false} {
-					ledgers := [entries]*Ledger{{}, {}, {}}
-					sound := Suspects{Part: partsWith("a", size, "sound", 0)}
-					now, crashes := time.Minute, 0
-					for n := 0; n < 20; n++ {
-						l := ledgers[n%entries]
-						for range 10 {
-							now += 20 * time.Millisecond
-							l.AddRequest(sound, now)
-							l.AddAnswer(sound, now)
-						}
-						now += 300 * time.Millisecond
-						prefix := "a"
-						if !shared {
-							prefix = fmt.Sprintf("own%d-", n)
-						}
-						s := Suspects{Part: partsWith(prefix, size, bad, at)}
-						l.AddRequest(s, now)
-						if _, left := l.Excluded(s, now); left > 0 {
-							continue
-						}
-						crashes++
-						l.AddBreak(fmt.Sprint("r", n), s, now)
-						l.AddEnd(fmt.Sprint("r", n), now+100*time.Millisecond)
-						now += 200 * time.Millisecond
-						for _, other := range ledgers {
-							if other != l {
-								other.Merge(l.Facts(now), 50*time.Millisecond, now)
-							}
-						}
-					}
-					name := fmt.Sprintf("%q at place %d of %d, others shared %t", bad, at, size, shared)
-					if crashes > badPartCrashes+entries {
-						t.Errorf("%s: %d crashes", name, crashes)
-					}
-					for i, l := range ledgers {
-						if suspect, _ := l.Excluded(parts(bad), now); suspect.ID != bad {
-							t.Errorf("%s: entry VM %d does not exclude it", name, i)
-						}
-						if suspect, left := l.Excluded(sound, now); left > 0 {
-							t.Errorf("%s: entry VM %d excludes the sound part %s", name, i, suspect.ID)
-						}
-					}
-				}
+				tests = append(tests, manyParts{size, at, bad, true}, manyParts{size, at, bad, false})
+			}
+		}
+	}
+	for _, tt := range tests {
+		ledgers := []*Ledger{{}, {}, {}}
+		crashes, now := tt.play(ledgers)
+		if crashes > badPartCrashes+len(ledgers) {
+			t.Errorf("%+v: %d crashes", tt, crashes)
+		}
+		for i, l := range ledgers {
+			if suspect, _ := l.Excluded(parts(tt.bad), now); suspect.ID != tt.bad {
+				t.Errorf("%+v: entry VM %d does not exclude the part", tt, i)
+			}
+			if suspect, left := l.Excluded(tt.sound(), now); left > 0 {
+				t.Errorf("%+v: entry VM %d excludes the sound part %s", tt, i, suspect.ID)
 			}
 		}
 	}
